Claim calls that are not idempotent in journals on the platform

Cause: a reservation sent twice, or to two hosts, ran twice: nothing was claimed before dispatch. A claim is never transferred; only its maker may void it, which is its word that it will not dispatch. Other hosts ask the maker over gRPC.

--- /dev/null
+++ b/src/monsoonwall/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Let calls that are not idempotent run at most once."""
--- a/src/monsoonwall/entry/responses.py
+++ b/src/monsoonwall/entry/responses.py
@@ -19,6 +19,7 @@
         RefusalReason.key_required: 400,
         RefusalReason.key_reused: 422,
         RefusalReason.in_progress: 409,
+        RefusalReason.answer_not_kept: 409,
         RefusalReason.workspace_limit: 429,
         RefusalReason.crashing_request: 422,
         RefusalReason.deadline_passed: 504,
--- /dev/null
+++ b/src/monsoonwall/mesh/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the messages of the mesh and the code generated for them."""
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -52,3 +52,13 @@
 RUNNING_REQUESTS = Gauge(
     'monsoonwall_running_requests', 'Requests accepted and not ended.'
 )
+CLAIM_COMMITS = Counter(
+    'monsoonwall_claim_commits_total',
+    'Writes of claim journals, by how they ended.',
+    ('ending',),
+)
+CLAIMS = Counter(
+    'monsoonwall_claims_total',
+    'Claims asked for, by verdict.',
+    ('verdict',),
+)
--- a/src/monsoonwall/pipeline/messages.py
+++ b/src/monsoonwall/pipeline/messages.py
@@ -34,6 +34,7 @@
     key_required = 'idempotency_key_required'
     key_reused = 'idempotency_key_reused'
     in_progress = 'already_in_progress'
+    answer_not_kept = 'answer_not_kept'
     workspace_limit = 'workspace_limit'
     overloaded = 'overloaded'
     crashing_request = 'crashing_request'
--- /dev/null
+++ b/tests/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Test the claims package."""
--- /dev/null
+++ b/tests/claims/stores.py
@@ -0,0 +1,91 @@
+"""Imitate the object API in memory, with the faults that a test asks for."""
+
+import asyncio
+from collections import deque
+
+from returns.result import Failure, Success
+
+from monsoonwall.platform.objects import (
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+)
+
+FAULTS = ('ok', 'unavailable', 'lost_done', 'lost_undone', 'late', 'stall')
+
+
+class FaultyStore(ObjectStore):
+    """Hold objects; each write takes the next fault, none left means ok.
+
+    A ``late`` write answers ``lost`` and lands when told, if its condition
+    still holds then; a ``stall`` does the same but its caller waits so long.
+    """
+
+    def __init__(self):
+        self.objects = {}
+        self.faults = deque()
+        self.writes = 0
+        self._late = []
+        self._version = 0
+
+    def land_late(self):
+        """Let the writes on their way arrive."""
+        late = self._late
+        self._late = []
+        for write, landed in late:
+            outcome = self._put(*write)
+            if landed is not None and not landed.done():
+                landed.set_result(outcome)
+
+    async def read(self, key, reason):
+        if self._next_fault(('unavailable',)) == 'unavailable':
+            return Failure(StoreFailure.unavailable)
+        if key not in self.objects:
+            return Failure(StoreFailure.missing)
+        return Success(self.objects[key])
+
+    async def list_objects(self, prefix, reason):
+        raise NotImplementedError
+
+    async def create(self, key, content, reason):
+        return await self._write(key, content, 0)
+
+    async def update(self, key, content, version, reason):
+        return await self._write(key, content, version)
+
+    async def delete(self, key, version, reason):
+        found = self.objects.pop(key, None)
+        return Success(found) if found else Failure(StoreFailure.missing)
+
+    async def watch(self, key, after, deadline, reason):
+        raise NotImplementedError
+
+    def _next_fault(self, wanted):
+        if self.faults and self.faults[0] in wanted:
+            return self.faults.popleft()
+        return 'ok'
+
+    async def _write(self, key, content, version):
+        self.writes += 1
+        fault = self._next_fault(FAULTS)
+        write = (key, content, version)
+        if fault == 'unavailable':
+            return Failure(StoreFailure.unavailable)
+        if fault == 'stall':
+            landed = asyncio.get_running_loop().create_future()
+            self._late.append((write, landed))
+            return await landed
+        if fault == 'late':
+            self._late.append((write, None))
+        if fault in {'late', 'lost_undone'}:
+            return Failure(StoreFailure.lost)
+        outcome = self._put(*write)
+        return Failure(StoreFailure.lost) if fault == 'lost_done' else outcome
+
+    def _put(self, key, content, version):
+        found = self.objects.get(key)
+        if (found.version if found else 0) != version:
+            return Failure(StoreFailure.conflict)
+        self._version += 1
+        self.objects[key] = StoredObject(key, self._version, content)
+        return Success(self.objects[key])
--- /dev/null
+++ b/tests/claims/test_claiming.py
@@ -0,0 +1,304 @@
+"""Run claimed calls at most once, whatever fails between.
+
+A state machine drives three hosts over one faulty store: callers repeat
+their calls at any host, hosts pause between claim and dispatch, die and
+come back without memory, and cannot reach each other. The oracle is a count
+of executions for each key.
+"""
+
+import asyncio
+import unittest
+from collections import Counter
+from itertools import count
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+)
+from returns.pipeline import is_successful
+
+from monsoonwall.claims.asking import UNKNOWN_CLAIM, ClaimInquiry, get_maker
+from monsoonwall.claims.claiming import JournalClaiming
+from monsoonwall.claims.writer import JournalWriters
+from monsoonwall.clocks import ManualClock
+from monsoonwall.pipeline.messages import (
+    AttemptEnding,
+    AttemptFailure,
+    Call,
+    Effect,
+    Priority,
+    RefusalReason,
+    ServiceReply,
+)
+from tests.claims.stores import FAULTS, FaultyStore
+
+HOSTS = ('host-a', 'host-b', 'host-c')
+SPINS = 60
+NOT_RUN = AttemptFailure(AttemptEnding.unreachable, 'refused', False)
+MAYBE_RUN = AttemptFailure(AttemptEnding.crashed, 'reset', True)
+
+hosts = strategies.sampled_from(HOSTS)
+keys = strategies.sampled_from(('key-1', 'key-2'))
+faults = strategies.lists(strategies.sampled_from(FAULTS), max_size=4)
+endings = strategies.sampled_from(('reply', 'not_run', 'ran_lost', 'pause'))
+
+
+def make_call(request_id, key, content='content'):
+    return Call(
+        request_id=request_id,
+        workspace='depot',
+        route='stock-reservation',
+        service='ledger',
+        priority=Priority.interactive,
+        idempotent=False,
+        idempotency_key=key,
+        deadline=1_000_000,
+        content_key=content,
+    )
+
+
+class Cluster:
+    """Hold the hosts, their store and what was executed."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.clock = ManualClock()
+        # Timers run on the manual clock, so no verdict hangs on real time.
+        self.loop.time = self.clock.read_monotonic
+        self.store = FaultyStore()
+        self.claimings = {}
+        self.writers = {}
+        self.unreachable = set()
+        self.executed = Counter()
+        self.defects = []
+        self.loop.set_exception_handler(self._note_defect)
+        for name in HOSTS:
+            self.restart(name)
+
+    def restart(self, name):
+        """Give a host a new start without any memory."""
+        known = self.writers.pop(name, None)
+        if known is not None:
+            known.close()
+        self.writers[name] = JournalWriters(self.store, self.clock)
+        self.claimings[name] = JournalClaiming(
+            name,
+            self.writers[name].find_writer,
+            DirectInquiry(self),
+            self.clock,
+        )
+
+    def start(self, work):
+        return self.loop.create_task(work)
+
+    def spin(self):
+        """Run what can run without time passing."""
+        self.loop.run_until_complete(self._turn())
+
+    def close(self):
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.spin()
+        self.loop.close()
+        assert not self.defects, self.defects
+
+    def _note_defect(self, _loop, context):
+        # A killed host's tasks vanish unfinished, which is no defect.
+        if 'exception' in context:
+            self.defects.append(context)
+
+    async def _turn(self):
+        for _ in range(SPINS):
+            await asyncio.sleep(0)
+
+
+class DirectInquiry(ClaimInquiry):
+    """Ask the other claiming objects directly."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+
+    async def ask(self, token):
+        maker = get_maker(token)
+        if maker in self._cluster.unreachable:
+            return UNKNOWN_CLAIM
+        return self._cluster.claimings[maker].describe_claim(token)
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Drive the hosts and compare them with the count of executions."""
+
+    calls = Bundle('calls')
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = Cluster()
+        self.numbers = count()
+        self.waiting = []
+        self.paused = []
+        self.replies = {}
+
+    @rule(host=hosts, key=keys, failing=faults, ending=endings)
+    def send_call(self, host, key, failing, ending):
+        self.cluster.store.faults.extend(failing)
+        call = make_call(f'request-{next(self.numbers)}', key)
+        claiming = self.cluster.claimings[host]
+        task = self.cluster.start(claiming.claim(call))
+        self.waiting.append((task, call, claiming, ending))
+        self._settle()
+
+    @rule()
+    def land_late_writes(self):
+        self.cluster.store.land_late()
+        self._settle()
+
+    @rule()
+    def pass_time(self):
+        self.cluster.clock.advance(3)
+        self._settle()
+
+    @rule(host=hosts)
+    def replace_host(self, host):
+        lost = self.cluster.claimings[host]
+        self.cluster.restart(host)
+        self.waiting = [one for one in self.waiting if one[2] is not lost]
+        self.paused = [one for one in self.paused if one[1] is not lost]
+        self._settle()
+
+    @rule(host=hosts, cut=strategies.booleans())
+    def cut_host(self, host, cut):
+        if cut:
+            self.cluster.unreachable.add(host)
+        else:
+            self.cluster.unreachable.discard(host)
+
+    @rule(ending=endings)
+    def wake_paused(self, ending):
+        woken = self.paused
+        self.paused = []
+        for call, claiming in woken:
+            self._dispatch(call, claiming, ending)
+        self._settle()
+
+    @invariant()
+    def runs_at_most_once(self):
+        for key, times in self.cluster.executed.items():
+            assert times <= 1, f'{key} ran {times} times'
+
+    def teardown(self):
+        self.cluster.close()
+
+    def _settle(self):
+        self.cluster.spin()
+        for waiting in tuple(self.waiting):
+            if waiting[0].done():
+                self.waiting.remove(waiting)
+                self._take(*waiting)
+        self.cluster.spin()
+
+    def _take(self, task, call, claiming, ending):
+        outcome = task.result()
+        key = call.idempotency_key
+        if not is_successful(outcome):
+            refusal = outcome.failure()
+            if refusal.effect is Effect.run:
+                assert self.cluster.executed[key] == 1
+            return
+        earlier = outcome.unwrap()
+        if earlier is None:
+            self._dispatch(call, claiming, ending)
+        else:
+            assert earlier == self.replies[key]
+
+    def _dispatch(self, call, claiming, ending):
+        key = call.idempotency_key
+        if ending == 'pause':
+            self.paused.append((call, claiming))
+            return
+        if ending == 'reply':
+            self.replies[key] = ServiceReply(
+                200, 'text/plain', call.request_id.encode()
+            )
+        self.cluster.executed[key] += ending != 'not_run'
+        outcomes = {
+            'not_run': NOT_RUN,
+            'ran_lost': MAYBE_RUN,
+            'reply': self.replies.get(key, MAYBE_RUN),
+        }
+        self.cluster.start(claiming.conclude(call, outcomes[ending]))
+
+
+ClaimMachine.TestCase.settings = settings(
+    max_examples=120, stateful_step_count=30, derandomize=True, deadline=None
+)
+
+
+class ClaimMachineTest(ClaimMachine.TestCase):
+    """Run the state machine."""
+
+
+class ClaimingTest(unittest.TestCase):
+    """Check single cases that callers see."""
+
+    def setUp(self):
+        self.cluster = Cluster()
+        self.addCleanup(self.cluster.close)
+
+    def claim(self, host, call):
+        task = self.cluster.start(self.cluster.claimings[host].claim(call))
+        self.cluster.spin()
+        return task.result()
+
+    def conclude(self, host, call, ending):
+        self.cluster.start(self.cluster.claimings[host].conclude(call, ending))
+        self.cluster.spin()
+
+    def test_repeat_elsewhere_gets_the_answer(self):
+        call = make_call('one', 'key')
+        reply = ServiceReply(201, 'text/plain', b'kept')
+        self.assertIsNone(self.claim('host-a', call).unwrap())
+        self.conclude('host-a', call, reply)
+        self.cluster.restart('host-a')
+        again = self.claim('host-b', make_call('two', 'key'))
+        self.assertEqual(again.unwrap(), reply)
+
+    def test_outage_is_refused_as_not_run(self):
+        self.cluster.store.faults.append('unavailable')
+        refusal = self.claim('host-a', make_call('one', 'key')).failure()
+        self.assertEqual(refusal.reason, RefusalReason.platform_unavailable)
+        self.assertEqual(refusal.effect, Effect.not_run)
+
+    def test_other_content_is_refused(self):
+        self.claim('host-a', make_call('one', 'key'))
+        refusal = self.claim('host-b', make_call('two', 'key', 'other'))
+        self.assertEqual(refusal.failure().reason, RefusalReason.key_reused)
+
+    def test_running_call_is_told_apart(self):
+        self.claim('host-a', make_call('one', 'key'))
+        refusal = self.claim('host-b', make_call('two', 'key')).failure()
+        self.assertEqual(refusal.reason, RefusalReason.in_progress)
+
+    def test_undispatched_claim_is_free_again(self):
+        call = make_call('one', 'key')
+        self.claim('host-a', call)
+        self.conclude('host-a', call, NOT_RUN)
+        self.assertIsNone(
+            self.claim('host-b', make_call('two', 'key')).unwrap()
+        )
+
+    def test_lost_answer_of_the_claim_is_read_back(self):
+        self.cluster.store.faults.append('lost_done')
+        self.assertIsNone(
+            self.claim('host-a', make_call('one', 'key')).unwrap()
+        )
+
+    def test_records_outlast_sealing(self):
+        calls = [make_call(f'r{at}', f'key-{at}') for at in range(600)]
+        for call in calls:
+            self.claim('host-a', call)
+        for call in calls[::50]:
+            again = self.claim('host-b', call)
+            self.assertFalse(is_successful(again))
