Share records between entry hosts by gossip over gRPC

Hosts had a board of their own only. Each origin now numbers its entries in a log; two hosts compare columns of (origin, sequence, heartbeat) and hand over what one lacks. Facts are compared by 32 bucket numbers and pushed at once.

--- /dev/null
+++ b/src/monsoonwall/decisions/membership.py
@@ -0,0 +1,161 @@
+"""Judge which entry hosts are alive from their heartbeats.
+
+A host is heard when its heartbeat grows, whoever passed it on. One that is
+silent is first suspected and then judged gone; it comes back by a heartbeat
+or an incarnation above the last one known, so neither a stale copy at
+another host nor an earlier process of the same name can revive it.
+"""
+
+import math
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from typing import Final
+
+_MAX_FAREWELLS: Final = 10_000
+
+
+class MemberState(StrEnum):
+    """Name what is thought of a host."""
+
+    alive = 'alive'
+    suspect = 'suspect'
+    gone = 'gone'
+
+
+@dataclass(frozen=True, order=True)
+class Pulse:
+    """Order the signs of life of one host name."""
+
+    incarnation: int
+    heartbeat: int
+
+
+@dataclass(frozen=True)
+class Member:
+    """Hold what is known of a host's life.
+
+    It is suspected from ``suspect_at`` and gone at ``gone_at``, both in
+    monotonic seconds, unless it is heard before.
+    """
+
+    name: str
+    pulse: Pulse
+    suspect_at: float
+    gone_at: float
+
+    def judge(self, now: float) -> MemberState:
+        """Return the host's state at a time."""
+        if now >= self.gone_at:
+            return MemberState.gone
+        if now >= self.suspect_at:
+            return MemberState.suspect
+        return MemberState.alive
+
+
+@dataclass(frozen=True)
+class Timing:
+    """Hold how long a host may be silent, in seconds."""
+
+    suspect_seconds: float = 1.5
+    gone_seconds: float = 4.0
+    refused_seconds: float = 2.0
+    pause_seconds: float = 1.0
+
+    def stretch(self, members: int, round_seconds: float) -> 'Timing':
+        """Allow for the rounds that news takes among so many members."""
+        rounds = 2 + math.ceil(math.log2(max(2, members)))
+        spread = rounds * round_seconds
+        return replace(
+            self,
+            suspect_seconds=max(self.suspect_seconds, spread),
+            gone_seconds=max(self.gone_seconds, 2 * spread),
+        )
+
+
+class Membership:
+    """Follow the heartbeats of the other entry hosts."""
+
+    def __init__(self, timing: Timing, now: float) -> None:
+        self.timing = timing
+        self._members: dict[str, Member] = {}
+        self._farewells: dict[str, Pulse] = {}
+        self._judged = now
+
+    def hear(self, name: str, pulse: Pulse, now: float) -> bool:
+        """Take in a sign of life; return whether it is news."""
+        if not self.is_news(name, pulse):
+            return False
+        self._farewells.pop(name, None)
+        self._members[name] = Member(
+            name,
+            pulse,
+            now + self.timing.suspect_seconds,
+            now + self.timing.gone_seconds,
+        )
+        return True
+
+    def is_news(self, name: str, pulse: Pulse) -> bool:
+        """Tell whether a pulse is above the last one known."""
+        member = self._members.get(name)
+        known = member.pulse if member else self._farewells.get(name)
+        return known is None or pulse > known
+
+    def note_unreachable(self, name: str, now: float) -> None:
+        """Suspect a host whose address refuses connections.
+
+        Another host may still reach it, so a heartbeat passed on clears it.
+        """
+        member = self._members.get(name)
+        if member is None:
+            return
+        self._members[name] = replace(
+            member,
+            suspect_at=min(member.suspect_at, now),
+            gone_at=min(member.gone_at, now + self.timing.refused_seconds),
+        )
+
+    def remove(self, name: str) -> None:
+        """Forget a host but for its last pulse."""
+        member = self._members.pop(name, None)
+        if member is None:
+            return
+        self._farewells[name] = member.pulse
+        while len(self._farewells) > _MAX_FAREWELLS:
+            self._farewells.pop(next(iter(self._farewells)))
+
+    def judge(self, now: float) -> tuple[str, ...]:
+        """Return the hosts judged gone since the last call.
+
+        A process that was itself paused heard nobody meanwhile, so the
+        length of its pause is added to every host's time.
+        """
+        pause = now - self._judged
+        self._judged = now
+        if pause > self.timing.pause_seconds:
+            self._excuse(pause)
+        gone = tuple(
+            name
+            for name, member in self._members.items()
+            if member.judge(now) is MemberState.gone
+        )
+        for name in gone:
+            self.remove(name)
+        return gone
+
+    def list_members(self) -> tuple[Member, ...]:
+        """Return the hosts that are not gone."""
+        return tuple(self._members.values())
+
+    def find(self, name: str) -> Member | None:
+        """Return a host that is not gone."""
+        return self._members.get(name)
+
+    def _excuse(self, pause: float) -> None:
+        self._members = {
+            name: replace(
+                member,
+                suspect_at=member.suspect_at + pause,
+                gone_at=member.gone_at + pause,
+            )
+            for name, member in self._members.items()
+        }
--- /dev/null
+++ b/src/monsoonwall/mesh/exchange.py
@@ -0,0 +1,184 @@
+"""Compare what two hosts know and hand over what one of them lacks."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from monsoonwall.mesh.board import Fact
+from monsoonwall.mesh.logs import OriginLog, make_origin_id
+from monsoonwall.mesh.store import RecordStore
+from monsoonwall.mesh.wire.gossip_pb2 import (
+    ExchangeReply,
+    ExchangeRequest,
+    FactRecord,
+    GroupDigest,
+    LogDelta,
+    PushRequest,
+)
+
+# Bounds the entries, and apart from them the facts, of one message.
+MAX_NEWS_BYTES: Final = 64_000
+
+
+class Exchanger:
+    """Make and answer the messages of gossip for one host."""
+
+    def __init__(self, store: RecordStore) -> None:
+        self.store = store
+
+    def make_request(self) -> ExchangeRequest:
+        """Return the digest of what this host knows."""
+        groups: dict[str, GroupDigest] = {}
+        for log in self.store.logs:
+            group = groups.get(log.zone)
+            if group is None:
+                group = GroupDigest(zone=log.zone)
+                groups[log.zone] = group
+            group.origins.append(make_origin_id(log.name, log.incarnation))
+            group.sequences.append(log.sequence)
+            group.heartbeats.append(log.heartbeat)
+        return ExchangeRequest(
+            sender=self.store.own.name,
+            zone=self.store.own.zone,
+            digests=groups.values(),
+            fact_buckets=self.store.facts.list_buckets(),
+        )
+
+    def answer(self, request: ExchangeRequest, now: float) -> ExchangeReply:
+        """Return what the caller lacks, and ask for what it has more of."""
+        reply = ExchangeReply(sender=self.store.own.name)
+        budget = _Budget()
+        seen: set[int] = set()
+        for digest in _read_digests(request.digests):
+            seen.add(digest.origin)
+            self._compare(reply, budget, digest, now)
+        for log in self.store.logs:
+            if make_origin_id(log.name, log.incarnation) not in seen:
+                budget.add_delta(reply.deltas, log, 0)
+        differing = self.store.facts.compare(request.fact_buckets)
+        reply.wanted_buckets.extend(differing)
+        self._add_facts(reply.facts, differing)
+        return reply
+
+    def take_reply(
+        self, reply: ExchangeReply, now: float, now_wall: float
+    ) -> PushRequest | None:
+        """Keep what the reply brings; return what its sender asks for."""
+        fresh = zip(reply.fresh_origins, reply.fresh_heartbeats, strict=True)
+        for origin, heartbeat in fresh:
+            log = self.store.logs.find_id(origin)
+            if log is not None:
+                self.store.hear(log, heartbeat, now)
+        push = self._make_wanted(reply)
+        self.store.take_deltas(reply.deltas, now)
+        self.merge_facts(reply.facts, now_wall)
+        return push if push.deltas or push.facts else None
+
+    def merge_facts(
+        self, records: Iterable[FactRecord], now_wall: float
+    ) -> tuple[Fact, ...]:
+        """Keep the facts that stand; return those that are new here."""
+        return tuple(
+            fact
+            for fact in map(_read_fact, records)
+            if self.store.merge_fact(fact, now_wall)
+        )
+
+    def make_push(self, facts: Iterable[Fact]) -> PushRequest:
+        """Return facts to hand on at once."""
+        push = PushRequest(sender=self.store.own.name)
+        push.facts.extend(map(_write_fact, facts))
+        return push
+
+    def make_farewell(self) -> PushRequest:
+        """Return this host's own log, its record of itself included."""
+        delta = self.store.own_log.make_delta(0, MAX_NEWS_BYTES)
+        return PushRequest(sender=self.store.own.name, deltas=[delta])
+
+    def _compare(
+        self,
+        reply: ExchangeReply,
+        budget: '_Budget',
+        digest: '_Digest',
+        now: float,
+    ) -> None:
+        log = self.store.logs.find_id(digest.origin)
+        if log is None:
+            reply.wanted_origins.append(digest.origin)
+            reply.wanted_after.append(0)
+            return
+        if digest.heartbeat > log.heartbeat:
+            self.store.hear(log, digest.heartbeat, now)
+        elif digest.heartbeat < log.heartbeat:
+            reply.fresh_origins.append(digest.origin)
+            reply.fresh_heartbeats.append(log.heartbeat)
+        if digest.sequence > log.sequence:
+            reply.wanted_origins.append(digest.origin)
+            reply.wanted_after.append(log.sequence)
+        elif digest.sequence < log.sequence:
+            budget.add_delta(reply.deltas, log, digest.sequence)
+
+    def _make_wanted(self, reply: ExchangeReply) -> PushRequest:
+        push = PushRequest(sender=self.store.own.name)
+        self._add_facts(push.facts, reply.wanted_buckets)
+        budget = _Budget()
+        wanted = zip(reply.wanted_origins, reply.wanted_after, strict=True)
+        for origin, sequence in wanted:
+            log = self.store.logs.find_id(origin)
+            if log is not None:
+                budget.add_delta(push.deltas, log, sequence)
+        return push
+
+    def _add_facts(
+        self, records: 'list[FactRecord]', buckets: Iterable[int]
+    ) -> None:
+        left = MAX_NEWS_BYTES
+        for fact in self.store.facts.list_facts(buckets):
+            record = _write_fact(fact)
+            left -= record.ByteSize()
+            records.append(record)
+            if left <= 0:
+                return
+
+
+@dataclass(frozen=True)
+class _Digest:
+    origin: int
+    sequence: int
+    heartbeat: int
+
+
+@dataclass
+class _Budget:
+    left: int = MAX_NEWS_BYTES
+
+    def add_delta(
+        self, deltas: 'list[LogDelta]', log: OriginLog, base: int
+    ) -> None:
+        if self.left <= 0:
+            return
+        delta = log.make_delta(base, self.left)
+        self.left -= delta.ByteSize()
+        deltas.append(delta)
+
+
+def _read_digests(groups: Iterable[GroupDigest]) -> Iterator[_Digest]:
+    for group in groups:
+        columns = zip(
+            group.origins, group.sequences, group.heartbeats, strict=True
+        )
+        for origin, sequence, heartbeat in columns:
+            yield _Digest(origin, sequence, heartbeat)
+
+
+def _write_fact(fact: Fact) -> FactRecord:
+    return FactRecord(
+        kind=fact.kind,
+        key=fact.key,
+        payload=fact.payload,
+        expires_wall=fact.expires_wall,
+    )
+
+
+def _read_fact(record: FactRecord) -> Fact:
+    return Fact(record.kind, record.key, record.payload, record.expires_wall)
--- /dev/null
+++ b/src/monsoonwall/mesh/facts.py
@@ -0,0 +1,108 @@
+"""Keep the facts, and find out cheaply where two hosts' facts differ."""
+
+from collections.abc import Iterable
+from itertools import takewhile
+from typing import Final
+
+from sortedcontainers import SortedSet
+from xxhash import xxh64_intdigest
+
+from monsoonwall.mesh.board import Fact
+
+BUCKETS: Final = 32
+MAX_FACTS: Final = 20_000
+
+
+class FactTable:
+    """Hold the standing fact of each kind and key until it expires.
+
+    Keys fall into buckets, and each bucket has one number made of all its
+    facts: hosts with equal numbers hold equal facts.
+    """
+
+    def __init__(self) -> None:
+        self._kinds: dict[str, dict[str, Fact]] = {}
+        self._buckets = [0 for _ in range(BUCKETS)]
+        self._places: list[dict[tuple[str, str], Fact]] = [
+            {} for _ in range(BUCKETS)
+        ]
+        self._expiry: SortedSet = SortedSet()
+
+    def __len__(self) -> int:
+        """Return the number of facts."""
+        return len(self._expiry)
+
+    def merge(self, fact: Fact, now_wall: float) -> bool:
+        """Keep the fact if it stands; return whether it is new here."""
+        if fact.expires_wall <= now_wall:
+            return False
+        known = self._kinds.get(fact.kind, {}).get(fact.key)
+        if known is not None:
+            if _weigh(fact) <= _weigh(known):
+                return False
+            self._remove(known)
+        elif len(self) >= MAX_FACTS:
+            return False
+        self._insert(fact)
+        return True
+
+    def expire(self, now_wall: float) -> None:
+        """Drop the facts whose time is over."""
+        over = list(takewhile(lambda due: due[0] <= now_wall, self._expiry))
+        for _, kind, key in over:
+            self._remove(self._kinds[kind][key])
+
+    def read(self, kind: str, now_wall: float) -> tuple[Fact, ...]:
+        """Return the facts of a kind that have not expired."""
+        return tuple(
+            fact
+            for fact in self._kinds.get(kind, {}).values()
+            if fact.expires_wall > now_wall
+        )
+
+    def list_buckets(self) -> tuple[int, ...]:
+        """Return one number for each bucket."""
+        return tuple(self._buckets)
+
+    def compare(self, buckets: Iterable[int]) -> tuple[int, ...]:
+        """Return the buckets in which another host's numbers differ."""
+        pairs = zip(self._buckets, buckets, strict=False)
+        return tuple(
+            index for index, (own, other) in enumerate(pairs) if own != other
+        )
+
+    def list_facts(self, buckets: Iterable[int]) -> tuple[Fact, ...]:
+        """Return the facts of some buckets."""
+        return tuple(
+            fact
+            for index in buckets
+            if index < BUCKETS
+            for fact in self._places[index].values()
+        )
+
+    def _insert(self, fact: Fact) -> None:
+        self._kinds.setdefault(fact.kind, {})[fact.key] = fact
+        self._expiry.add((fact.expires_wall, fact.kind, fact.key))
+        index = _choose_bucket(fact)
+        self._places[index][fact.kind, fact.key] = fact
+        self._buckets[index] ^= _hash_fact(fact)
+
+    def _remove(self, fact: Fact) -> None:
+        self._kinds[fact.kind].pop(fact.key)
+        self._expiry.discard((fact.expires_wall, fact.kind, fact.key))
+        index = _choose_bucket(fact)
+        self._places[index].pop((fact.kind, fact.key))
+        self._buckets[index] ^= _hash_fact(fact)
+
+
+def _weigh(fact: Fact) -> tuple[bytes, float]:
+    return fact.payload, fact.expires_wall
+
+
+def _choose_bucket(fact: Fact) -> int:
+    return xxh64_intdigest(f'{fact.kind}/{fact.key}'.encode()) % BUCKETS
+
+
+def _hash_fact(fact: Fact) -> int:
+    head = f'{fact.kind}/{fact.key}/{fact.expires_wall!r}/'.encode()
+    return xxh64_intdigest(head + fact.payload)
--- /dev/null
+++ b/src/monsoonwall/mesh/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the generated messages of the mesh."""
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -46,6 +46,12 @@
     'Bytes exchanged with other entry hosts.',
     ('direction',),
 )
+MESH_MESSAGES = Counter(
+    'monsoonwall_mesh_messages_total',
+    'Messages exchanged with other entry hosts, and those that failed.',
+    ('direction', 'message'),
+)
+MESH_PEERS = Gauge('monsoonwall_mesh_peers', 'Other entry hosts thought alive.')
 CONFIGURATION_NUMBER = Gauge(
     'monsoonwall_configuration_number', 'Number of the one in force.'
 )
