--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -10,6 +10,7 @@
 from monsoonwall.clocks import Clock
 from monsoonwall.configuration.model import Configuration
 from monsoonwall.entry.configuring import ConfigurationTask
+from monsoonwall.entry.meshing import Mesh
 from monsoonwall.entry.requests import RequestTasks
 from monsoonwall.entry.state import HostState, Serving
 from monsoonwall.entry.web import make_application, make_routes
@@ -43,6 +44,7 @@
         self._client = AsyncHTTPClient(force_instance=True)
         self._stopping = asyncio.Event()
         store = HttpObjectStore(settings.platform_address, self._client, clock)
+        self._mesh = Mesh(settings, clock)
         self._configuring = ConfigurationTask(store, clock, self.adopt)
 
     async def run(self) -> None:
@@ -50,6 +52,7 @@
         loop = asyncio.get_running_loop()
         for asked in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(asked, self._stopping.set)
+        await self._mesh.start()
         server = self._listen()
         configuring = asyncio.create_task(self._configuring.run())
         _log.info('Entry host started.', address=self._settings.listen_address)
@@ -88,10 +91,12 @@
     async def _shut_down(self, server: HTTPServer) -> None:
         _log.info('Shutdown begun.')
         self._state.leaving = True
+        await self._mesh.announce_leaving()
         drain_deadline = (
             self._clock.read_monotonic() + self._settings.drain_seconds
         )
         left = await self._tasks.drain(drain_deadline)
+        await self._mesh.stop()
         server.stop()
         await server.close_all_connections()
         self._client.close()
