Carry zone summaries between relays in a wide fleet

Full exchange costs each host its share of every other host's entries, so it ends at 32 hosts. Above that, hosts exchange within their zone, relays write one merged log a zone, and what a host publishes is paced by the number of hosts that must carry it.

--- a/src/monsoonwall/decisions/gossip.py
+++ b/src/monsoonwall/decisions/gossip.py
@@ -1,23 +1,37 @@
-"""Choose whom to gossip with, and about which zones."""
+"""Choose whom to gossip with, and about which zones.
 
-from collections.abc import Sequence
+Up to a few dozen hosts everybody exchanges everything with everybody. Above
+that a host exchanges with its own zone only, and a few relays a zone carry
+the zone's summary to the relays of the others, so that what a host sends
+grows with its zone and the number of zones rather than with the fleet.
+"""
+
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Final
 
 from xxhash import xxh64_intdigest
 
 from monsoonwall.mesh.peers import Peer
 
-# Up to here everybody exchanges everything, which costs little and tells all
-# hosts all entries; above it, hosts exchange within their zone.
-FULL_EXCHANGE_MEMBERS: Final = 40
-ROUND_SECONDS: Final = 0.25
+FULL_EXCHANGE_MEMBERS: Final = 32
+# Below this a wide fleet goes back to full exchange; the space between keeps
+# one that stays at the limit from going back and forth.
+_FULL_AGAIN_MEMBERS: Final = 24
+FULL_ROUND_SECONDS: Final = 0.25
 WIDE_ROUND_SECONDS: Final = 1.0
-_PARTNERS: Final = 2
+RELAYS_PER_ZONE: Final = 2
+_FULL_PARTNERS: Final = 2
+_PUSH_FANOUT: Final = 4
+# What a host may receive and send of entries and of zone summaries; the rest
+# of its 24 kB a second is for digests and facts.
+_ENTRY_BYTES_PER_SECOND: Final = 8000
+_SUMMARY_BYTES_PER_SECOND: Final = 4000
 
 
 @dataclass(frozen=True)
-class Self:
+class Identity:
     """Name the host that chooses."""
 
     name: str
@@ -25,31 +39,139 @@
     region: str
 
 
-def choose_partners(
-    own: Self, peers: Sequence[Peer], now: float, seed: int
+class Duty(StrEnum):
+    """Name what a host does for its zone in a wide fleet."""
+
+    none = 'none'
+    stand_by = 'stand_by'
+    lead = 'lead'
+
+
+@dataclass(frozen=True)
+class Round:
+    """Hold whom one round of gossip goes to; the zones they compare.
+
+    No zones at all means every zone.
+    """
+
+    partners: tuple[Peer, ...]
+    zones: tuple[str, ...]
+
+
+def decide_wide(wide: bool, members: int) -> bool:
+    """Return whether so many hosts are too many for full exchange."""
+    limit = _FULL_AGAIN_MEMBERS if wide else FULL_EXCHANGE_MEMBERS
+    return members > limit
+
+
+def choose_relays(candidates: Iterable[str]) -> tuple[str, ...]:
+    """Return the relays among the names of a zone's hosts.
+
+    The order depends on each name alone, so a host that comes or goes moves
+    the task from or to itself only.
+    """
+    ranked = sorted(candidates, key=lambda name: rank(name, 0))
+    return tuple(ranked[:RELAYS_PER_ZONE])
+
+
+def choose_round(
+    own: Identity, peers: Sequence[Peer], now: float, seed: int
+) -> Round:
+    """Return the partners of a full exchange in the round of a time."""
+    step = int(now / FULL_ROUND_SECONDS)
+    return Round(choose_turn(own, peers, step, seed, _FULL_PARTNERS), ())
+
+
+def choose_wide_rounds(
+    own: Identity, peers: Sequence[Peer], now: float, seed: int
+) -> tuple[Round, ...]:
+    """Return the round within the zone and, on a relay, the one across."""
+    step = int(now / WIDE_ROUND_SECONDS)
+    near = tuple(peer for peer in peers if peer.zone == own.zone)
+    within = Round(choose_turn(own, near, step, seed, 1), (own.zone, ''))
+    if decide_duty(own, peers) is Duty.none:
+        return (within,)
+    far = tuple(peer for peer in peers if peer.zone != own.zone)
+    return (within, Round(choose_turn(own, far, step, seed, 1), ('',)))
+
+
+def choose_turn(
+    own: Identity, peers: Sequence[Peer], step: int, seed: int, partners: int
 ) -> tuple[Peer, ...]:
-    """Return the peers to exchange with in the round of a time.
+    """Return the peers whose turn it is.
 
     The order is shuffled anew each time it has been gone through, so that
     every peer has its turn and no two hosts keep in step.
     """
     if not peers:
         return ()
-    step = int(now / ROUND_SECONDS)
-    per_pass = -(-len(peers) // _PARTNERS)
-    passes, turn = divmod(step, per_pass)
+    turns = -(-len(peers) // partners)
+    passes, turn = divmod(step, turns)
     shuffled = sorted(
         peers,
         key=lambda peer: rank(f'{own.name}/{peer.name}', seed + passes),
     )
-    return tuple(shuffled[turn * _PARTNERS : (turn + 1) * _PARTNERS])
+    return tuple(shuffled[turn * partners : (turn + 1) * partners])
 
 
 def choose_push_targets(
-    own: Self, peers: Sequence[Peer], now: float, seed: int
+    own: Identity, peers: Sequence[Peer], wide: bool, seed: int
 ) -> tuple[Peer, ...]:
-    """Return the peers to hand urgent news to."""
-    return tuple(peers)
+    """Return the peers to hand urgent news to.
+
+    In a wide fleet these are the zone's relays, a few others of the zone
+    and, from a relay, a few relays of other zones; each of them hands news
+    on in the same way, and the rounds bring it to the rare host left out.
+    """
+    if not wide:
+        return tuple(peers)
+    near = tuple(peer for peer in peers if peer.zone == own.zone)
+    relays = choose_relays((own.name, *(peer.name for peer in near)))
+    chosen = [peer for peer in near if peer.name in relays]
+    others = tuple(peer for peer in near if peer.name not in relays)
+    chosen.extend(choose_turn(own, others, 0, seed, _PUSH_FANOUT))
+    if own.name in relays:
+        far = tuple(peer for peer in peers if peer.zone != own.zone)
+        chosen.extend(choose_turn(own, far, 0, seed, _PUSH_FANOUT))
+    return tuple(chosen)
+
+
+def seeks_strangers(own: Identity, peers: Sequence[Peer], wide: bool) -> bool:
+    """Tell whether a host tries addresses at which it knows no host.
+
+    In a wide fleet relays do so, to find zones that were cut off, and hosts
+    that know nobody in their zone.
+    """
+    if not wide or decide_duty(own, peers) is not Duty.none:
+        return True
+    return all(peer.zone != own.zone for peer in peers)
+
+
+def decide_duty(own: Identity, peers: Sequence[Peer]) -> Duty:
+    """Return what a host does for its zone, as far as it knows the others."""
+    staying = (
+        peer.name
+        for peer in peers
+        if peer.zone == own.zone and not peer.leaving
+    )
+    relays = choose_relays((own.name, *staying))
+    if own.name not in relays:
+        return Duty.none
+    return Duty.lead if own.name == relays[0] else Duty.stand_by
+
+
+def limit_entry_rate(near_hosts: int) -> float:
+    """Return the bytes of entries a second that one host may publish.
+
+    Each host that exchanges fully receives every byte and sends it on about
+    once, so the hosts' rates add up to half of what each may spend.
+    """
+    return _ENTRY_BYTES_PER_SECOND / 2 / near_hosts
+
+
+def limit_summary_rate(zones: int) -> float:
+    """Return the bytes a second that one zone's summary may take."""
+    return _SUMMARY_BYTES_PER_SECOND / 2 / zones
 
 
 def rank(text: str, seed: int) -> int:
--- a/src/monsoonwall/entry/meshing.py
+++ b/src/monsoonwall/entry/meshing.py
@@ -8,13 +8,15 @@
 from grpc.aio import Channel
 
 from monsoonwall.clocks import Clock
-from monsoonwall.decisions.gossip import Self
+from monsoonwall.decisions.gossip import Identity
 from monsoonwall.decisions.membership import Membership, Timing
-from monsoonwall.mesh.board import Board, Entry, Fact
+from monsoonwall.mesh.board import Board, Entry, Fact, Merge
 from monsoonwall.mesh.channels import Channels
 from monsoonwall.mesh.exchange import Exchanger
 from monsoonwall.mesh.gossip import GossipTask
 from monsoonwall.mesh.peers import Peer, Peers, Registrar
+from monsoonwall.mesh.roster import Roster
+from monsoonwall.mesh.rounds import Planner
 from monsoonwall.mesh.server import MeshServer
 from monsoonwall.mesh.store import HostRecord, RecordStore
 from monsoonwall.settings import EntrySettings
@@ -29,19 +31,28 @@
         self._clock = clock
         self._queues: dict[str, list[Queue[Entry | Fact]]] = {}
         self._gossip: GossipTask | None = None
+        self._planner: Planner | None = None
 
-    def connect(self, gossip: GossipTask) -> None:
+    def connect(self, gossip: GossipTask, planner: Planner) -> None:
         """Take the gossip that carries the records."""
         self._gossip = gossip
+        self._planner = planner
 
     def announce(self, record: Entry | Fact) -> None:
         """Hand a record to those that subscribed."""
-        for queue in self._queues.get(record.kind, ()):
+        queues = self._queues.get(record.kind)
+        if not queues:
+            return
+        if isinstance(record, Entry):
+            record = self._planner.roster.view(record)
+        for queue in queues if record else ():
             queue.put_nowait(record)
 
     def publish_entry(self, kind: str, key: str, payload: bytes) -> None:
         """Set this host's entry under a key."""
-        self._gossip.store.publish(kind, key, payload)
+        store = self._gossip.store
+        store.show(Entry(store.own.name, kind, key, payload))
+        self._planner.outbox.put(kind, key, payload)
 
     def publish_fact(self, fact: Fact) -> None:
         """Spread a fact."""
@@ -50,7 +61,7 @@
 
     def read_entries(self, kind: str) -> tuple[Entry, ...]:
         """Return every live host's entries of a kind, own ones included."""
-        return self._gossip.store.read_entries(kind)
+        return self._planner.roster.read_entries(kind)
 
     def read_facts(self, kind: str) -> tuple[Fact, ...]:
         """Return the facts of a kind that have not expired."""
@@ -62,31 +73,29 @@
         self._queues.setdefault(kind, []).append(queue)
         return queue
 
+    def declare_merge(self, kind: str, merge: Merge) -> None:
+        """Let a zone's relays merge its hosts' entries of a kind."""
+        self._planner.summaries.declare_merge(kind, merge)
+
 
 class MeshPeers(Peers):
     """Know the other entry hosts by gossip."""
 
-    def __init__(self, store: RecordStore, channels: Channels) -> None:
-        self._store = store
+    def __init__(self, roster: Roster, channels: Channels) -> None:
+        self._roster = roster
         self._channels = channels
 
     def list_peers(self) -> tuple[Peer, ...]:
-        """Return the peers thought alive, nearest zones first."""
-        own = self._store.own
-        return tuple(
-            sorted(
-                self._store.list_peers(),
-                key=lambda peer: (
-                    peer.zone != own.zone,
-                    peer.region != own.region,
-                    peer.name,
-                ),
-            )
-        )
+        """Return the peers thought alive, nearest zones first.
+
+        In a wide fleet these are the own zone's hosts and the relays of
+        the other zones.
+        """
+        return self._roster.list_peers()
 
     def find_channel(self, name: str) -> Channel | None:
         """Return the gRPC channel to a peer, or None if it is unknown."""
-        peer = self._store.find_peer(name)
+        peer = self._roster.find_peer(name)
         return self._channels.find(peer.address) if peer else None
 
 
@@ -98,13 +107,10 @@
     """
 
     def __init__(self, settings: EntrySettings, clock: Clock) -> None:
-        own = Self(settings.host_name, settings.zone, settings.region)
+        own = Identity(settings.host_name, settings.zone, settings.region)
         record = HostRecord(
-            settings.zone, settings.region, settings.mesh_address
+            own.name, own.zone, own.region, settings.mesh_address
         )
-        self._address = settings.mesh_address
-        self._channels = Channels()
-        self._clock = clock
         board = MeshBoard(clock)
         store = RecordStore(
             own,
@@ -113,12 +119,15 @@
             Membership(Timing(), clock.read_monotonic()),
             board.announce,
         )
+        planner = Planner(store, settings.peers, clock.read_monotonic())
+        self._address = settings.mesh_address
+        self._channels = Channels()
         self._gossip = GossipTask(
-            Exchanger(store), self._channels, clock, record, settings.peers
+            Exchanger(store), planner, self._channels, clock, record
         )
-        board.connect(self._gossip)
-        self.board = board
-        self.peers = MeshPeers(store, self._channels)
+        board.connect(self._gossip, planner)
+        self.board: Board = board
+        self.peers: Peers = MeshPeers(planner.roster, self._channels)
         self._server: MeshServer | None = None
         self._running: Task[None] | None = None
 
--- a/src/monsoonwall/mesh/board.py
+++ b/src/monsoonwall/mesh/board.py
@@ -9,8 +9,12 @@
 
 from abc import ABC, abstractmethod
 from asyncio import Queue
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+# Makes one payload of what several hosts say under one key.
+Merge = Callable[[Sequence[bytes]], bytes]
+
 
 @dataclass(frozen=True)
 class Entry:
@@ -59,6 +63,14 @@
     def subscribe(self, kind: str) -> Queue[Entry | Fact]:
         """Return a queue of what arrives from now on."""
 
+    def declare_merge(self, kind: str, merge: Merge) -> None:  # noqa: B027
+        """Let a zone's relays merge its hosts' entries of a kind.
+
+        In a fleet too large for full exchange, a kind without a merge stays
+        within its zone; of a kind with one, hosts of other zones read one
+        entry a zone and key, whose origin is ``zone/`` and the zone's name.
+        """
+
 
 class LocalBoard(Board):
     """Serve a host that has no peers."""
--- a/src/monsoonwall/mesh/channels.py
+++ b/src/monsoonwall/mesh/channels.py
@@ -9,6 +9,9 @@
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.min_reconnect_backoff_ms', 500),
     ('grpc.max_reconnect_backoff_ms', 1000),
+    # Finds out connections that a cut has silenced, also after it healed.
+    ('grpc.keepalive_time_ms', 5000),
+    ('grpc.keepalive_timeout_ms', 2000),
     ('grpc.enable_retries', 0),
     ('grpc.use_local_subchannel_pool', 1),
 )
--- a/src/monsoonwall/mesh/exchange.py
+++ b/src/monsoonwall/mesh/exchange.py
@@ -1,6 +1,6 @@
 """Compare what two hosts know and hand over what one of them lacks."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -18,6 +18,8 @@
 
 # Bounds the entries, and apart from them the facts, of one message.
 MAX_NEWS_BYTES: Final = 64_000
+# A farewell holds the whole log, since its last record is what matters.
+MAX_FAREWELL_BYTES: Final = 2_000_000
 
 
 class Exchanger:
@@ -26,10 +28,12 @@
     def __init__(self, store: RecordStore) -> None:
         self.store = store
 
-    def make_request(self) -> ExchangeRequest:
-        """Return the digest of what this host knows."""
+    def make_request(self, zones: Sequence[str]) -> ExchangeRequest:
+        """Return the digest of what this host knows of some zones, or all."""
         groups: dict[str, GroupDigest] = {}
         for log in self.store.logs:
+            if not _is_in(log.zone, zones):
+                continue
             group = groups.get(log.zone)
             if group is None:
                 group = GroupDigest(zone=log.zone)
@@ -39,21 +43,28 @@
             group.heartbeats.append(log.heartbeat)
         return ExchangeRequest(
             sender=self.store.own.name,
-            zone=self.store.own.zone,
+            zones=zones,
             digests=groups.values(),
             fact_buckets=self.store.facts.list_buckets(),
         )
 
-    def answer(self, request: ExchangeRequest, now: float) -> ExchangeReply:
-        """Return what the caller lacks, and ask for what it has more of."""
+    def answer(
+        self, request: ExchangeRequest, zones: Sequence[str], now: float
+    ) -> ExchangeReply:
+        """Return what the caller lacks, and ask for what it has more of.
+
+        Only zones that both hosts take an interest in are looked at; naming
+        none means all of them.
+        """
         reply = ExchangeReply(sender=self.store.own.name)
         budget = _Budget()
         seen: set[int] = set()
-        for digest in _read_digests(request.digests):
+        for digest in _read_digests(request.digests, zones):
             seen.add(digest.origin)
             self._compare(reply, budget, digest, now)
         for log in self.store.logs:
-            if make_origin_id(log.name, log.incarnation) not in seen:
+            wanted = _is_in(log.zone, zones) and _is_in(log.zone, request.zones)
+            if wanted and make_origin_id(log.name, log.incarnation) not in seen:
                 budget.add_delta(reply.deltas, log, 0)
         differing = self.store.facts.compare(request.fact_buckets)
         reply.wanted_buckets.extend(differing)
@@ -92,7 +103,7 @@
 
     def make_farewell(self) -> PushRequest:
         """Return this host's own log, its record of itself included."""
-        delta = self.store.own_log.make_delta(0, MAX_NEWS_BYTES)
+        delta = self.store.own_log.make_delta(0, MAX_FAREWELL_BYTES)
         return PushRequest(sender=self.store.own.name, deltas=[delta])
 
     def _compare(
@@ -162,8 +173,16 @@
         deltas.append(delta)
 
 
-def _read_digests(groups: Iterable[GroupDigest]) -> Iterator[_Digest]:
+def _is_in(zone: str, zones: Sequence[str]) -> bool:
+    return not zones or zone in zones
+
+
+def _read_digests(
+    groups: Iterable[GroupDigest], zones: Sequence[str]
+) -> Iterator[_Digest]:
     for group in groups:
+        if not _is_in(group.zone, zones):
+            continue
         columns = zip(
             group.origins, group.sequences, group.heartbeats, strict=True
         )
--- a/src/monsoonwall/mesh/facts.py
+++ b/src/monsoonwall/mesh/facts.py
@@ -9,7 +9,7 @@
 
 from monsoonwall.mesh.board import Fact
 
-BUCKETS: Final = 32
+BUCKETS: Final = 16
 MAX_FACTS: Final = 20_000
 
 
--- /dev/null
+++ b/src/monsoonwall/mesh/rounds.py
@@ -0,0 +1,145 @@
+"""Plan the rounds of gossip from what this host knows."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from monsoonwall.decisions import gossip
+from monsoonwall.decisions.gossip import Duty, Round
+from monsoonwall.decisions.membership import Timing
+from monsoonwall.mesh.outbox import Outbox
+from monsoonwall.mesh.peers import Peer
+from monsoonwall.mesh.roster import Roster
+from monsoonwall.mesh.store import SUMMARY_ZONE, HostRecord, RecordStore
+from monsoonwall.mesh.summaries import SummaryWriter
+from monsoonwall.metrics import MESH_PEERS
+
+_SEED_SECONDS: Final = 1.0
+_SEEDS_AT_ONCE: Final = 2
+_EARLIER_SECONDS: Final = 7200.0
+
+
+class Planner:
+    """Decide whether the fleet is wide, whom to call and what about."""
+
+    def __init__(
+        self, store: RecordStore, seeds: Sequence[str], now: float
+    ) -> None:
+        self.roster = Roster(store)
+        self.summaries = SummaryWriter(store)
+        self.outbox = Outbox(store, store.own_log, now)
+        self._store = store
+        self._settled_seeds = frozenset(seeds)
+        self._listed_seeds: frozenset[str] = frozenset()
+        self._earlier: dict[str, float] = {}
+        self._address = ''
+        self._seed_due = float('-inf')
+        self._number = gossip.rank(store.own.name, 0)
+        self._pushes = 0
+        self._wide = False
+
+    @property
+    def wide(self) -> bool:
+        """Tell whether the fleet is too large for full exchange."""
+        return self._wide
+
+    @property
+    def zones(self) -> tuple[str, ...]:
+        """Return the zones to keep the hosts of; none means all."""
+        return (self._store.own.zone, SUMMARY_ZONE) if self._wide else ()
+
+    @property
+    def round_seconds(self) -> float:
+        """Return the time from one round to the next."""
+        return (
+            gossip.WIDE_ROUND_SECONDS
+            if self._wide
+            else gossip.FULL_ROUND_SECONDS
+        )
+
+    def plan(self, record: HostRecord, now: float) -> tuple[Round, ...]:
+        """Return this round's exchanges, and keep the summary current."""
+        own = self._store.own
+        peers = self.roster.list_peers()
+        MESH_PEERS.set(len(peers))
+        self._address = record.address
+        self._remember(peers, now)
+        self._wide = gossip.decide_wide(self._wide, self.roster.count_hosts())
+        self._store.membership.timing = Timing().stretch(
+            len(peers) + 1, self.round_seconds
+        )
+        self._keep_summary(record, peers, now)
+        self._flush(peers, now)
+        if self._wide:
+            return gossip.choose_wide_rounds(own, peers, now, self._number)
+        return (gossip.choose_round(own, peers, now, self._number),)
+
+    def choose_push_targets(self) -> tuple[Peer, ...]:
+        """Return the peers to hand urgent news to."""
+        self._pushes += 1
+        return gossip.choose_push_targets(
+            self._store.own,
+            self.roster.list_peers(),
+            self._wide,
+            self._number + self._pushes,
+        )
+
+    def list_seeds(self, addresses: Sequence[str]) -> None:
+        """Replace the addresses that the platform lists."""
+        self._listed_seeds = frozenset(addresses)
+
+    def choose_seeds(self, now: float) -> tuple[str, ...]:
+        """Return addresses to try at which no known host lives."""
+        peers = self.roster.list_peers()
+        seeking = gossip.seeks_strangers(self._store.own, peers, self._wide)
+        if now < self._seed_due or not seeking:
+            return ()
+        self._seed_due = now + _SEED_SECONDS
+        known = {peer.address for peer in peers}
+        strange = self._list_seeds() - known
+        ranked = sorted(
+            strange, key=lambda seed: gossip.rank(seed, self._number + int(now))
+        )
+        return tuple(ranked[:_SEEDS_AT_ONCE])
+
+    def list_addresses(self) -> set[str]:
+        """Return the addresses that this host may call."""
+        known = {peer.address for peer in self.roster.list_peers()}
+        return known | self._list_seeds()
+
+    def _keep_summary(
+        self, record: HostRecord, peers: Sequence[Peer], now: float
+    ) -> None:
+        relaying = self._wide and not record.leaving
+        duty = (
+            gossip.decide_duty(self._store.own, peers)
+            if relaying
+            else Duty.none
+        )
+        self.summaries.update(record, duty, now)
+
+    def _flush(self, peers: Sequence[Peer], now: float) -> None:
+        zones = {peer.zone for peer in peers} | {self._store.own.zone}
+        near = sum(
+            not self._wide or peer.zone == self._store.own.zone
+            for peer in peers
+        )
+        self.outbox.flush(now, gossip.limit_entry_rate(1 + near))
+        self.summaries.flush(now, gossip.limit_summary_rate(len(zones)))
+
+    def _remember(self, peers: Sequence[Peer], now: float) -> None:
+        # A zone that was cut off is found again where its hosts were.
+        for peer in peers:
+            if peer.leaving:
+                self._earlier.pop(peer.address, None)
+            else:
+                self._earlier[peer.address] = now + _EARLIER_SECONDS
+        self._earlier = {
+            address: forget_at
+            for address, forget_at in self._earlier.items()
+            if now < forget_at
+        }
+
+    def _list_seeds(self) -> set[str]:
+        return {*self._settled_seeds, *self._listed_seeds, *self._earlier} - {
+            self._address
+        }
--- a/src/monsoonwall/mesh/server.py
+++ b/src/monsoonwall/mesh/server.py
@@ -24,6 +24,8 @@
         serving = server(
             options=(
                 ('grpc.so_reuseport', 0),
+                ('grpc.http2.min_recv_ping_interval_without_data_ms', 1000),
+                ('grpc.http2.max_ping_strikes', 0),
                 ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
             )
         )
--- a/src/monsoonwall/mesh/store.py
+++ b/src/monsoonwall/mesh/store.py
@@ -6,29 +6,61 @@
 
 from msgspec import DecodeError, ValidationError, msgpack
 
-from monsoonwall.decisions.gossip import Self
+from monsoonwall.decisions.gossip import Identity
 from monsoonwall.decisions.membership import Membership, Pulse
 from monsoonwall.mesh.board import Entry, Fact
 from monsoonwall.mesh.facts import FactTable
-from monsoonwall.mesh.logs import LogTable, OriginLog
+from monsoonwall.mesh.logs import LogTable, OriginLog, Place
 from monsoonwall.mesh.peers import Peer
 from monsoonwall.mesh.wire.gossip_pb2 import LogDelta, LogRecord
 
 HOST_KIND: Final = 'host'
+# The logs that relays write for their zones form a group of this name.
+SUMMARY_ZONE: Final = ''
 
 
 @dataclass(frozen=True)
 class HostRecord:
     """Hold what a host says of itself under the kind ``host``.
 
-    ``leaving`` asks for no new work; ``left`` ends the host's membership.
+    In a zone's summary it describes the relay, and ``hosts`` counts the
+    zone's. ``leaving`` asks for no new work; ``left`` ends the log.
     """
 
+    name: str
     zone: str
     region: str
     address: str
     leaving: bool = False
     left: bool = False
+    hosts: int = 1
+
+
+@dataclass(frozen=True)
+class HostLog:
+    """Name a log of another host and what it says of its writer."""
+
+    name: str
+    zone: str
+    incarnation: int
+    record: HostRecord
+
+    @property
+    def is_summary(self) -> bool:
+        """Tell a zone's summary from a host's own log."""
+        return self.zone == SUMMARY_ZONE
+
+    @property
+    def peer(self) -> Peer:
+        """Return the peer that wrote the log."""
+        return Peer(
+            self.record.name,
+            self.record.zone,
+            self.record.region,
+            self.record.address,
+            self.incarnation,
+            self.record.leaving,
+        )
 
 
 class RecordStore:
@@ -36,33 +68,49 @@
 
     def __init__(
         self,
-        own: Self,
+        own: Identity,
         incarnation: int,
         membership: Membership,
         announce: Callable[[Entry | Fact], None],
     ) -> None:
         self.own = own
+        self.hosts_number = 0
         self.facts = FactTable()
         self.logs = LogTable()
         self.membership = membership
         self._announce = announce
-        self._entries: dict[str, dict[tuple[str, str], Entry]] = {}
-        self._peers: dict[str, Peer] = {}
+        self._entries: dict[str, dict[Place, Entry]] = {}
+        self._hosts: dict[str, HostLog] = {}
+        self._own_logs: dict[str, OriginLog] = {}
         self.own_log = OriginLog(own.name, own.zone, incarnation)
-        self.logs.add(self.own_log)
-
-    def describe_self(self, record: HostRecord) -> None:
-        """Publish what this host says of itself."""
-        self.publish(HOST_KIND, '', msgpack.encode(record))
-
-    def publish(self, kind: str, key: str, payload: bytes) -> None:
-        """Set this host's entry under a key."""
-        log = self.own_log
+        self.open_log(self.own_log)
+
+    def open_log(self, log: OriginLog) -> None:
+        """Begin a log that this host writes."""
+        self._own_logs[log.name] = log
+        self.logs.add(log)
+
+    def close_log(self, log: OriginLog, now: float) -> None:
+        """Write a log no more; it goes like that of a silent host."""
+        self._own_logs.pop(log.name)
+        pulse = Pulse(log.incarnation, log.heartbeat)
+        self.membership.hear(log.name, pulse, now)
+
+    def write(
+        self, log: OriginLog, kind: str, key: str, payload: bytes
+    ) -> LogRecord:
+        """Add a record to a log that this host writes."""
         record = LogRecord(
             kind=kind, key=key, payload=payload, sequence=log.sequence + 1
         )
         log.put(record)
-        self._take_record(log, record)
+        return record
+
+    def show(self, entry: Entry) -> None:
+        """Let this host's parts read an entry."""
+        kind = self._entries.setdefault(entry.kind, {})
+        kind[entry.origin, entry.key] = entry
+        self._announce(entry)
 
     def merge_fact(self, fact: Fact, now_wall: float) -> bool:
         """Keep a fact if it stands; return whether it is new here."""
@@ -72,20 +120,25 @@
         return fresh
 
     def read_entries(self, kind: str) -> tuple[Entry, ...]:
-        """Return the entries of a kind of all hosts that are not gone."""
+        """Return the entries of a kind from all logs."""
         return tuple(self._entries.get(kind, {}).values())
 
-    def list_peers(self) -> tuple[Peer, ...]:
-        """Return the other hosts that are not gone."""
-        return tuple(self._peers.values())
+    def find_zone(self, log_name: str) -> str | None:
+        """Return the zone whose group holds a log."""
+        log = self.logs.find(log_name)
+        return log.zone if log else None
 
-    def find_peer(self, name: str) -> Peer | None:
-        """Return another host that is not gone."""
-        return self._peers.get(name)
+    def list_hosts(self) -> tuple['HostLog', ...]:
+        """Return what the logs of other hosts say of their writers.
+
+        ``hosts_number`` changes whenever this does.
+        """
+        return tuple(self._hosts.values())
 
     def begin_round(self, now: float, now_wall: float) -> tuple[str, ...]:
-        """Beat, and drop what is over; return the hosts judged gone."""
-        self.own_log.heartbeat += 1
+        """Beat, and drop what is over; return the logs judged gone."""
+        for log in self._own_logs.values():
+            log.heartbeat += 1
         self.facts.expire(now_wall)
         gone = self.membership.judge(now)
         for name in gone:
@@ -93,8 +146,8 @@
         return gone
 
     def hear(self, log: OriginLog, heartbeat: int, now: float) -> None:
-        """Take in a heartbeat of a known origin."""
-        if log is self.own_log:
+        """Take in a heartbeat of a known log."""
+        if log.name in self._own_logs:
             return
         pulse = Pulse(log.incarnation, heartbeat)
         if self.membership.hear(log.name, pulse, now):
@@ -103,7 +156,7 @@
     def take_deltas(self, deltas: Iterable[LogDelta], now: float) -> None:
         """Keep what is new of other hosts' logs."""
         for delta in deltas:
-            if delta.origin != self.own.name:
+            if delta.origin not in self._own_logs:
                 self._take_delta(delta, now)
 
     def _take_delta(self, delta: LogDelta, now: float) -> None:
@@ -120,33 +173,28 @@
         self.membership.hear(delta.origin, pulse, now)
         for record in fresh:
             self._take_record(log, record)
-        if _has_left(log):
+        host = self._hosts.get(log.name)
+        if host is not None and host.record.left:
             self.membership.remove(log.name)
             self._drop(log.name)
 
     def _take_record(self, log: OriginLog, record: LogRecord) -> None:
-        entry = Entry(log.name, record.kind, record.key, record.payload)
-        kind = self._entries.setdefault(entry.kind, {})
-        kind[entry.origin, entry.key] = entry
-        self._announce(entry)
-        if record.kind == HOST_KIND and log is not self.own_log:
+        if record.kind == HOST_KIND:
             self._take_host(log, record.payload)
+        self.show(Entry(log.name, record.kind, record.key, record.payload))
 
     def _take_host(self, log: OriginLog, payload: bytes) -> None:
         record = _read_host(payload)
         if record is None:
             return
-        self._peers[log.name] = Peer(
-            log.name,
-            record.zone,
-            record.region,
-            record.address,
-            log.incarnation,
-            record.leaving,
+        self.hosts_number += 1
+        self._hosts[log.name] = HostLog(
+            log.name, log.zone, log.incarnation, record
         )
 
     def _drop(self, name: str) -> None:
-        self._peers.pop(name, None)
+        self.hosts_number += 1
+        self._hosts.pop(name, None)
         log = self.logs.drop(name)
         if log is None:
             return
@@ -159,9 +207,3 @@
         return msgpack.decode(payload, type=HostRecord)
     except (DecodeError, ValidationError):
         return None
-
-
-def _has_left(log: OriginLog) -> bool:
-    found = log.records.get((HOST_KIND, ''))
-    record = found and _read_host(found.payload)
-    return bool(record and record.left)
--- /dev/null
+++ b/src/monsoonwall/mesh/summaries.py
@@ -0,0 +1,99 @@
+"""Write a zone's summary while this host is one of its relays."""
+
+from dataclasses import replace
+
+from msgspec import msgpack
+
+from monsoonwall.decisions.gossip import Duty
+from monsoonwall.mesh.board import Merge
+from monsoonwall.mesh.logs import OriginLog
+from monsoonwall.mesh.outbox import Outbox
+from monsoonwall.mesh.roster import SUMMARY_PREFIX
+from monsoonwall.mesh.store import (
+    HOST_KIND,
+    SUMMARY_ZONE,
+    HostRecord,
+    RecordStore,
+)
+
+
+class SummaryWriter:
+    """Merge the entries of the zone's hosts into one log."""
+
+    def __init__(self, store: RecordStore) -> None:
+        self._store = store
+        self._merges: dict[str, Merge] = {}
+        self._outbox: Outbox | None = None
+        self._incarnation = store.own_log.incarnation
+
+    def declare_merge(self, kind: str, merge: Merge) -> None:
+        """Summarize a kind too."""
+        self._merges[kind] = merge
+
+    def update(self, record: HostRecord, duty: Duty, now: float) -> None:
+        """Bring the summary up to date, or end it when not relaying.
+
+        Only the first relay writes entries; the others stand by.
+        """
+        if duty is Duty.none:
+            self._close(record, now)
+            return
+        if self._outbox is None:
+            self._open(now)
+        described = replace(record, hosts=self._count())
+        self._put(HOST_KIND, '', msgpack.encode(described))
+        for kind, merge in self._merges.items():
+            self._summarize(kind, merge, duty is Duty.lead)
+
+    def flush(self, now: float, bytes_per_second: float) -> None:
+        """Write what the rate allows."""
+        if self._outbox is not None:
+            self._outbox.flush(now, bytes_per_second)
+
+    def _summarize(self, kind: str, merge: Merge, leading: bool) -> None:
+        written = self._outbox.list_keys(kind)
+        for key, payloads in self._group(kind).items() if leading else ():
+            written.discard(key)
+            self._put(kind, key, merge(payloads))
+        for key in written:
+            self._put(kind, key, b'')
+
+    def _group(self, kind: str) -> dict[str, list[bytes]]:
+        own_zone = self._store.own.zone
+        grouped: dict[str, list[bytes]] = {}
+        for entry in self._store.read_entries(kind):
+            if self._store.find_zone(entry.origin) == own_zone:
+                grouped.setdefault(entry.key, []).append(entry.payload)
+        return grouped
+
+    def _put(self, kind: str, key: str, payload: bytes) -> None:
+        if self._outbox.find(kind, key) != payload:
+            self._outbox.put(kind, key, payload)
+
+    def _open(self, now: float) -> None:
+        own = self._store.own
+        # Each term as a relay is an incarnation of the summary's log.
+        self._incarnation += 1
+        log = OriginLog(
+            f'{SUMMARY_PREFIX}{own.zone}/{own.name}',
+            SUMMARY_ZONE,
+            self._incarnation,
+        )
+        self._store.open_log(log)
+        self._outbox = Outbox(self._store, log, now)
+
+    def _close(self, record: HostRecord, now: float) -> None:
+        if self._outbox is None:
+            return
+        log = self._outbox.log
+        left = msgpack.encode(replace(record, left=True))
+        self._store.write(log, HOST_KIND, '', left)
+        self._store.close_log(log, now)
+        self._outbox = None
+
+    def _count(self) -> int:
+        own_zone = self._store.own.zone
+        return 1 + sum(
+            not log.is_summary and log.zone == own_zone
+            for log in self._store.list_hosts()
+        )
