--- /dev/null
+++ b/src/monsoonwall/entry/meshing.py
@@ -0,0 +1,153 @@
+"""Compose the mesh of one entry host."""
+
+import asyncio
+from asyncio import Queue, Task
+from collections.abc import Sequence
+from typing import Final
+
+from grpc.aio import Channel
+
+from monsoonwall.clocks import Clock
+from monsoonwall.decisions.gossip import Identity
+from monsoonwall.decisions.membership import Membership, Timing
+from monsoonwall.mesh.board import Board, Entry, Fact, Merge
+from monsoonwall.mesh.channels import Channels
+from monsoonwall.mesh.exchange import Exchanger
+from monsoonwall.mesh.gossip import GossipTask
+from monsoonwall.mesh.peers import Peer, Peers, Registrar
+from monsoonwall.mesh.roster import Roster
+from monsoonwall.mesh.rounds import Planner
+from monsoonwall.mesh.server import MeshServer
+from monsoonwall.mesh.store import HostRecord, RecordStore
+from monsoonwall.settings import EntrySettings
+
+_MILLISECONDS: Final = 1000
+
+
+class MeshBoard(Board):
+    """Publish and read records over the mesh."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._queues: dict[str, list[Queue[Entry | Fact]]] = {}
+        self._gossip: GossipTask | None = None
+        self._planner: Planner | None = None
+
+    def connect(self, gossip: GossipTask, planner: Planner) -> None:
+        """Take the gossip that carries the records."""
+        self._gossip = gossip
+        self._planner = planner
+
+    def announce(self, record: Entry | Fact) -> None:
+        """Hand a record to those that subscribed."""
+        queues = self._queues.get(record.kind)
+        if not queues:
+            return
+        if isinstance(record, Entry):
+            record = self._planner.roster.view(record)
+        for queue in queues if record else ():
+            queue.put_nowait(record)
+
+    def publish_entry(self, kind: str, key: str, payload: bytes) -> None:
+        """Set this host's entry under a key."""
+        store = self._gossip.store
+        store.show(Entry(store.own.name, kind, key, payload))
+        self._planner.outbox.put(kind, key, payload)
+
+    def publish_fact(self, fact: Fact) -> None:
+        """Spread a fact."""
+        if self._gossip.store.merge_fact(fact, self._clock.read_wall()):
+            self._gossip.spread(fact)
+
+    def read_entries(self, kind: str) -> tuple[Entry, ...]:
+        """Return every live host's entries of a kind, own ones included."""
+        return self._planner.roster.read_entries(kind)
+
+    def read_facts(self, kind: str) -> tuple[Fact, ...]:
+        """Return the facts of a kind that have not expired."""
+        return self._gossip.store.facts.read(kind, self._clock.read_wall())
+
+    def subscribe(self, kind: str) -> Queue[Entry | Fact]:
+        """Return a queue of what arrives from now on."""
+        queue: Queue[Entry | Fact] = Queue()
+        self._queues.setdefault(kind, []).append(queue)
+        return queue
+
+    def declare_merge(self, kind: str, merge: Merge) -> None:
+        """Let a zone's relays merge its hosts' entries of a kind."""
+        self._planner.summaries.declare_merge(kind, merge)
+
+
+class MeshPeers(Peers):
+    """Know the other entry hosts by gossip."""
+
+    def __init__(self, roster: Roster, channels: Channels) -> None:
+        self._roster = roster
+        self._channels = channels
+
+    def list_peers(self) -> tuple[Peer, ...]:
+        """Return the peers thought alive, nearest zones first.
+
+        In a wide fleet these are the own zone's hosts and the relays of
+        the other zones.
+        """
+        return self._roster.list_peers()
+
+    def find_channel(self, name: str) -> Channel | None:
+        """Return the gRPC channel to a peer, or None if it is unknown."""
+        peer = self._roster.find_peer(name)
+        return self._channels.find(peer.address) if peer else None
+
+
+class Mesh:
+    """Own the mesh tasks of one entry host.
+
+    ``board`` and ``peers`` work from the start; what they hold grows once
+    the mesh has started.
+    """
+
+    def __init__(self, settings: EntrySettings, clock: Clock) -> None:
+        own = Identity(settings.host_name, settings.zone, settings.region)
+        record = HostRecord(
+            own.name, own.zone, own.region, settings.mesh_address
+        )
+        board = MeshBoard(clock)
+        store = RecordStore(
+            own,
+            # Hosts keep nothing; the wall clock grows over a restart.
+            int(clock.read_wall() * _MILLISECONDS),
+            Membership(Timing(), clock.read_monotonic()),
+            board.announce,
+        )
+        planner = Planner(store, settings.peers, clock.read_monotonic())
+        self._address = settings.mesh_address
+        self._channels = Channels()
+        self._gossip = GossipTask(
+            Exchanger(store), planner, self._channels, clock, record
+        )
+        board.connect(self._gossip, planner)
+        self.board: Board = board
+        self.peers: Peers = MeshPeers(planner.roster, self._channels)
+        self._server: MeshServer | None = None
+        self._running: Task[None] | None = None
+
+    async def start(self, registrars: Sequence[Registrar] = ()) -> None:
+        """Serve the other hosts, with the given services too."""
+        self._server = MeshServer(
+            self._address, (self._gossip.register, *registrars)
+        )
+        await self._server.start()
+        self._running = asyncio.create_task(self._gossip.run())
+
+    async def announce_leaving(self) -> None:
+        """Tell the peers that this host takes nothing new."""
+        await self._gossip.announce_leaving(left=False)
+
+    async def stop(self) -> None:
+        """Take leave of the peers and stop."""
+        await self._gossip.announce_leaving(left=True)
+        if self._running is not None:
+            self._running.cancel()
+        if self._server is not None:
+            await self._server.stop()
+        await self._channels.close()
--- a/src/monsoonwall/mesh/wire/__init__.py
+++ b/src/monsoonwall/mesh/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the messages of the mesh and the code generated for them."""
+"""Hold the generated messages of the mesh."""
