--- /dev/null
+++ b/src/monsoonwall/configuration/announcement.py
@@ -0,0 +1,116 @@
+"""Carry a newly accepted configuration to the other hosts in one fact.
+
+A small document travels whole. Of a large one travel the last patches, which
+a host that is not far behind applies to what it holds; the digest tells
+whether it got the same document.
+"""
+
+import zlib
+from dataclasses import dataclass
+from typing import Final
+
+from msgspec import DecodeError, ValidationError, convert, json
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from monsoonwall.configuration.patching import apply_patch
+from monsoonwall.configuration.stored import (
+    AcceptedPatch,
+    StoredConfiguration,
+    decode_stored,
+    digest_document,
+    drop_patches,
+    encode_stored,
+)
+from monsoonwall.findings import Finding
+
+MAX_WHOLE_BYTES: Final = 4_000
+_MAX_TAIL_BYTES: Final = 4_000
+_MAX_ANNOUNCED_BYTES: Final = 100_000
+_NUMBER_BYTES: Final = 8
+
+
+@dataclass(frozen=True)
+class Announcement:
+    """Tell of a configuration, whole or by the patches that led to it."""
+
+    number: int
+    whole: bytes | None
+    recent: tuple[AcceptedPatch, ...]
+
+
+def encode_announcement(stored: StoredConfiguration) -> bytes:
+    """Return the payload of a fact.
+
+    It begins with the number, so that of two facts the newer one stands.
+    """
+    head = stored.number.to_bytes(_NUMBER_BYTES, 'big')
+    whole = zlib.compress(encode_stored(stored))
+    if len(whole) <= MAX_WHOLE_BYTES:
+        return b'%bW%b' % (head, whole)
+    tail = [
+        accepted
+        for accepted in drop_patches(stored.recent, _MAX_TAIL_BYTES)
+        if accepted.patch is not None
+    ]
+    return b'%bT%b' % (head, zlib.compress(json.encode(tail)))
+
+
+def decode_announcement(payload: bytes) -> Result[Announcement, Finding]:
+    """Return what a fact tells, or why it is unreadable."""
+    number = int.from_bytes(payload[:_NUMBER_BYTES], 'big')
+    kind = payload[_NUMBER_BYTES : _NUMBER_BYTES + 1]
+    rest = payload[_NUMBER_BYTES + 1 :]
+    if kind == b'W':
+        return Success(Announcement(number, rest, ()))
+    try:
+        recent = convert(
+            json.decode(
+                zlib.decompressobj().decompress(rest, _MAX_ANNOUNCED_BYTES)
+            ),
+            tuple[AcceptedPatch, ...],
+        )
+    except (DecodeError, ValidationError, zlib.error) as error:
+        return Failure(Finding('announcement', str(error)))
+    return Success(Announcement(number, None, recent))
+
+
+def derive_stored(
+    announcement: Announcement, held: StoredConfiguration | None
+) -> StoredConfiguration | None:
+    """Return the announced configuration, or None if it must be read.
+
+    ``held`` is used up: its document may be changed in place.
+    """
+    if announcement.whole is not None:
+        decoded = decode_stored(announcement.whole).value_or(None)
+        return _expect_number(decoded, announcement.number)
+    if held is None:
+        return None
+    missing = [
+        accepted
+        for accepted in announcement.recent
+        if accepted.number > held.number
+    ]
+    expected = list(range(held.number + 1, announcement.number + 1))
+    if [accepted.number for accepted in missing] != expected:
+        return None
+    document = held.document
+    for accepted in missing:
+        patched = apply_patch(document, accepted.patch)
+        if not is_successful(patched):
+            return None
+        document = patched.unwrap()
+    if not missing or digest_document(document) != missing[-1].digest:
+        return None
+    return StoredConfiguration(
+        announcement.number, document, (*held.recent, *missing)
+    )
+
+
+def _expect_number(
+    decoded: StoredConfiguration | None, number: int
+) -> StoredConfiguration | None:
+    if decoded is None or decoded.number != number:
+        return None
+    return decoded
--- /dev/null
+++ b/src/monsoonwall/configuration/outcomes.py
@@ -0,0 +1,102 @@
+"""Say how a submitted patch ended and what its operator can do."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from monsoonwall.configuration.model import Configuration
+from monsoonwall.configuration.stored import (
+    AcceptedPatch,
+    StoredConfiguration,
+)
+from monsoonwall.findings import Finding
+from monsoonwall.platform.objects import MAX_OBJECT_BYTES
+
+
+class PatchEnding(StrEnum):
+    """Name how a submitted patch ended; the value is a stable code.
+
+    After ``refused`` and ``unavailable`` it is certain that the patch is
+    not in force and never will be; after ``unknown`` it may be.
+    """
+
+    accepted = 'accepted'
+    refused = 'refused'
+    unavailable = 'platform_unavailable'
+    unknown = 'unknown'
+
+
+@dataclass(frozen=True)
+class PatchOutcome:
+    """Tell how a patch ended and the newest number seen, if any."""
+
+    ending: PatchEnding
+    number: int
+    findings: tuple[Finding, ...] = ()
+    accepted_wall: float = 0
+    stored: StoredConfiguration | None = None
+    configuration: Configuration | None = None
+    version: int = 0
+
+
+def tell_accepted(accepted: AcceptedPatch) -> PatchOutcome:
+    """Return the outcome of a patch found on record."""
+    return PatchOutcome(
+        PatchEnding.accepted,
+        accepted.number,
+        accepted_wall=accepted.accepted_wall,
+    )
+
+
+def refuse_patch(number: int, findings: tuple[Finding, ...]) -> PatchOutcome:
+    """Return the outcome of a patch that is not in force."""
+    return PatchOutcome(PatchEnding.refused, number, findings)
+
+
+def report_unwritten(number: int, causes: tuple[Finding, ...]) -> PatchOutcome:
+    """Return the outcome of a patch that certainly had no effect."""
+    advice = Finding('patch', 'nothing was changed; submit it again later')
+    return PatchOutcome(PatchEnding.unavailable, number, (*causes, advice))
+
+
+def report_unknown(patch_id: str, number: int) -> PatchOutcome:
+    """Return the outcome of a write that may have had an effect."""
+    return PatchOutcome(
+        PatchEnding.unknown,
+        number,
+        (
+            Finding(
+                'platform',
+                'its answers were lost and the patch may be accepted; submit '
+                f'it again with --patch_id={patch_id} to find out',
+            ),
+        ),
+    )
+
+
+def describe_race(base: int, current: StoredConfiguration) -> Finding:
+    """Return why a patch against a base came too late or too early."""
+    following = base + 1
+    winner = next(
+        (
+            accepted.patch_id
+            for accepted in current.recent
+            if accepted.number == following
+        ),
+        'not on record any more',
+    )
+    number = current.number
+    reason = f'the configuration has number {number}, not {base}'
+    if following <= number:
+        reason = f'{reason}; patch {following} is {winner}'
+    return Finding(
+        '/base', f'{reason}; read it and submit against number {number}'
+    )
+
+
+def describe_size(size: int) -> Finding:
+    """Return why a configuration of so many bytes cannot be kept."""
+    return Finding(
+        '/',
+        f'takes {size} bytes, the platform holds {MAX_OBJECT_BYTES}; '
+        'remove entries that are not needed',
+    )
--- /dev/null
+++ b/src/monsoonwall/configuration/record.py
@@ -0,0 +1,90 @@
+"""Read and write the platform's object that holds the configuration."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Final
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from monsoonwall.configuration.document import CONFIGURATION_KEY
+from monsoonwall.configuration.stored import (
+    StoredConfiguration,
+    decode_stored,
+)
+from monsoonwall.findings import Finding
+from monsoonwall.platform.objects import (
+    CallReason,
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+)
+
+READ_ATTEMPTS: Final = 4
+READ_PAUSE_SECONDS: Final = 0.3
+
+
+@dataclass(frozen=True)
+class Current:
+    """Hold the object as read; version 0 means that there is none."""
+
+    version: int
+    stored: StoredConfiguration
+
+
+class ConfigurationRecord:
+    """Read the object past stale answers, and replace it conditionally."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    async def read(
+        self, at_least: int, held: StoredConfiguration | None
+    ) -> Result[Current, tuple[Finding, ...]]:
+        """Return the object, read again while its number is too low.
+
+        The lower number is returned when it persists: a conditional write
+        on a stale one is refused by the platform. ``held`` stands in for an
+        object that was removed or overwritten with an unreadable one.
+        """
+        current: Result[Current, tuple[Finding, ...]] = Failure(())
+        for attempt in range(READ_ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(READ_PAUSE_SECONDS)
+            current = await self._read_once(held)
+            number = current.map(lambda found: found.stored.number)
+            if number.value_or(-1) >= at_least:
+                break
+        return current
+
+    async def write(
+        self, current: Current, content: bytes
+    ) -> Result[StoredObject, StoreFailure]:
+        """Replace the object if it is still the one that was read."""
+        if not current.version:
+            return await self._store.create(
+                CONFIGURATION_KEY, content, CallReason.configuration
+            )
+        return await self._store.update(
+            CONFIGURATION_KEY,
+            content,
+            current.version,
+            CallReason.configuration,
+        )
+
+    async def _read_once(
+        self, held: StoredConfiguration | None
+    ) -> Result[Current, tuple[Finding, ...]]:
+        found = await self._store.read(
+            CONFIGURATION_KEY, CallReason.configuration
+        )
+        if is_successful(found):
+            version = found.unwrap().version
+            decoded = decode_stored(found.unwrap().content)
+            if held is not None:
+                decoded = decoded.lash(lambda _faults: Success(held))
+            return decoded.map(lambda stored: Current(version, stored))
+        if found.failure() is StoreFailure.missing:
+            return Success(Current(0, held or StoredConfiguration(0, {})))
+        reason = f'could not be read ({found.failure()})'
+        return Failure((Finding('platform', reason),))
--- /dev/null
+++ b/src/monsoonwall/configuration/stored.py
@@ -0,0 +1,158 @@
+"""Write and read the configuration as the platform's object holds it.
+
+The object is the operators' document with two fields beside its sections:
+``number``, which grows by one with each accepted patch, and ``recent``, the
+patches accepted last. The tail answers an operator whose answer was lost and
+lets a host that holds an earlier number derive this one by itself.
+"""
+
+import zlib
+from dataclasses import dataclass
+from typing import Any, Final
+
+from msgspec import DecodeError, ValidationError, convert, json
+from returns.result import Failure, Result, Success
+from xxhash import xxh3_128_hexdigest
+
+from monsoonwall.findings import Finding
+
+# Larger objects are compressed, since the platform limits their size.
+_PLAIN_BYTES: Final = 200_000
+_MAX_DECODED_BYTES: Final = 32_000_000
+_MAX_RECENT: Final = 64
+_MAX_PATCH_BYTES: Final = 16_000
+
+
+@dataclass(frozen=True)
+class AcceptedPatch:
+    """Record one accepted patch; ``patch`` is None once it was dropped.
+
+    ``digest`` is of the document that the patch resulted in.
+    """
+
+    number: int
+    patch_id: str
+    accepted_wall: float
+    digest: str
+    patch: Any = None
+
+
+@dataclass(frozen=True)
+class StoredConfiguration:
+    """Hold a numbered document and the patches that led to it."""
+
+    number: int
+    document: dict[str, Any]
+    recent: tuple[AcceptedPatch, ...] = ()
+
+    def find_patch(self, patch_id: str) -> AcceptedPatch | None:
+        """Return the record of an accepted patch."""
+        for accepted in self.recent:
+            if accepted.patch_id == patch_id:
+                return accepted
+        return None
+
+    def reaches(self, number: int) -> bool:
+        """Return whether the tail still tells which patch took a number."""
+        return any(accepted.number == number for accepted in self.recent)
+
+    def is_sealed(self) -> bool:
+        """Return whether the last accepted patch led to this document."""
+        if not self.recent:
+            return False
+        last = self.recent[-1]
+        digest = digest_document(self.document)
+        return (last.number, last.digest) == (self.number, digest)
+
+
+def digest_document(document: Any) -> str:
+    """Return a hash that equal documents share."""
+    return xxh3_128_hexdigest(json.encode(document, order='sorted'))
+
+
+def copy_document(stored: StoredConfiguration) -> dict[str, Any]:
+    """Return a document of one's own, which may be changed in place."""
+    copied: dict[str, Any] = json.decode(json.encode(stored.document))
+    return copied
+
+
+def extend_stored(
+    before: StoredConfiguration, document: Any, patch: AcceptedPatch
+) -> StoredConfiguration:
+    """Return the configuration that follows, with its tail kept short."""
+    recent = (*before.recent, patch)[-_MAX_RECENT:]
+    return StoredConfiguration(patch.number, document, drop_patches(recent))
+
+
+def drop_patches(
+    recent: tuple[AcceptedPatch, ...], limit: int = _MAX_PATCH_BYTES
+) -> tuple[AcceptedPatch, ...]:
+    """Return the records with only the newest patches, up to a size."""
+    kept: list[AcceptedPatch] = []
+    size = 0
+    for accepted in reversed(recent):
+        size += len(json.encode(accepted.patch))
+        patch = accepted.patch if size <= limit else None
+        kept.append(
+            AcceptedPatch(
+                accepted.number,
+                accepted.patch_id,
+                accepted.accepted_wall,
+                accepted.digest,
+                patch,
+            )
+        )
+    return tuple(reversed(kept))
+
+
+def encode_stored(stored: StoredConfiguration) -> bytes:
+    """Return the object's content."""
+    content = json.encode(
+        {
+            'number': stored.number,
+            'recent': stored.recent,
+            **stored.document,
+        }
+    )
+    return content if len(content) <= _PLAIN_BYTES else zlib.compress(content)
+
+
+def decode_stored(
+    content: bytes,
+) -> Result[StoredConfiguration, tuple[Finding, ...]]:
+    """Return what an object's content holds, or why it is unreadable."""
+    try:
+        fields = json.decode(_expand(content))
+    except (DecodeError, zlib.error, RecursionError) as error:
+        return _refuse('/', f'is not readable: {error}')
+    if not isinstance(fields, dict):
+        return _refuse('/', 'must be an object')
+    number = fields.pop('number', None)
+    if not _is_number(number):
+        return _refuse('/number', 'must be a whole number of at least 1')
+    try:
+        recent = convert(fields.pop('recent', ()), tuple[AcceptedPatch, ...])
+    except ValidationError as error:
+        return _refuse('/recent', str(error))
+    return Success(StoredConfiguration(number, fields, recent))
+
+
+def _is_number(number: Any) -> bool:
+    # JSON's true would pass for 1.
+    return isinstance(number, int) and str(number).isdigit() and number > 0
+
+
+def _expand(content: bytes) -> bytes:
+    if content[:1] == b'{':
+        return content
+    expander = zlib.decompressobj()
+    expanded = expander.decompress(content, _MAX_DECODED_BYTES)
+    if not expander.eof:
+        raise zlib.error('cut short or too large')
+    return expanded
+
+
+def _refuse(
+    place: str, reason: str
+) -> Result[StoredConfiguration, tuple[Finding, ...]]:
+    return Failure((Finding(place, reason),))
--- /dev/null
+++ b/src/monsoonwall/configuration/submission.py
@@ -0,0 +1,182 @@
+"""Submit an operator's patch against a numbered configuration."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from monsoonwall.clocks import Clock
+from monsoonwall.configuration.document import check_document
+from monsoonwall.configuration.model import Configuration
+from monsoonwall.configuration.outcomes import (
+    PatchEnding,
+    PatchOutcome,
+    describe_race,
+    describe_size,
+    refuse_patch,
+    report_unknown,
+    report_unwritten,
+    tell_accepted,
+)
+from monsoonwall.configuration.patching import apply_patch
+from monsoonwall.configuration.plans import find_change_faults
+from monsoonwall.configuration.record import (
+    READ_ATTEMPTS,
+    READ_PAUSE_SECONDS,
+    ConfigurationRecord,
+    Current,
+)
+from monsoonwall.configuration.stored import (
+    AcceptedPatch,
+    StoredConfiguration,
+    copy_document,
+    digest_document,
+    encode_stored,
+    extend_stored,
+)
+from monsoonwall.findings import Finding
+from monsoonwall.platform.objects import MAX_OBJECT_BYTES, StoreFailure
+
+
+@dataclass(frozen=True)
+class PatchRequest:
+    """Ask for a patch on a number; the id names it when sent again."""
+
+    base: int
+    patch_id: str
+    patch: Any
+
+
+@dataclass(frozen=True)
+class _Prepared:
+    """Hold the write that would put a patch in force."""
+
+    current: Current
+    stored: StoredConfiguration
+    configuration: Configuration
+    content: bytes
+
+
+class PatchDesk:
+    """Carry patches to the platform and tell truly how each ended."""
+
+    def __init__(self, record: ConfigurationRecord, clock: Clock) -> None:
+        self._record = record
+        self._clock = clock
+
+    async def submit(
+        self, request: PatchRequest, held: StoredConfiguration | None
+    ) -> PatchOutcome:
+        """Return how the patch ended.
+
+        ``held``, what this host has in force, stands in for an object that
+        someone removed or overwrote with an unreadable one.
+        """
+        current = await self._record.read(request.base, held)
+        if not is_successful(current):
+            number = held.number if held else 0
+            return report_unwritten(number, current.failure())
+        before = current.unwrap().stored
+        earlier = before.find_patch(request.patch_id)
+        if earlier is not None:
+            return tell_accepted(earlier)
+        prepared = await asyncio.to_thread(
+            self._prepare, request, current.unwrap()
+        )
+        if not is_successful(prepared):
+            return refuse_patch(before.number, prepared.failure())
+        return await self._write(request, prepared.unwrap())
+
+    def _prepare(
+        self, request: PatchRequest, current: Current
+    ) -> Result[_Prepared, tuple[Finding, ...]]:
+        before = current.stored
+        if request.base != before.number:
+            return Failure((describe_race(request.base, before),))
+        patched = apply_patch(copy_document(before), request.patch)
+        if not is_successful(patched):
+            return Failure(patched.failure())
+        document = patched.unwrap()
+        now_wall = self._clock.read_wall()
+        checked = _check_change(before, document, now_wall)
+        if not is_successful(checked):
+            return Failure(checked.failure())
+        accepted = AcceptedPatch(
+            request.base + 1,
+            request.patch_id,
+            now_wall,
+            digest_document(document),
+            request.patch,
+        )
+        stored = extend_stored(before, document, accepted)
+        content = encode_stored(stored)
+        if len(content) > MAX_OBJECT_BYTES:
+            return Failure((describe_size(len(content)),))
+        return Success(_Prepared(current, stored, checked.unwrap(), content))
+
+    async def _write(
+        self, request: PatchRequest, prepared: _Prepared
+    ) -> PatchOutcome:
+        lost = False
+        for attempt in range(READ_ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(READ_PAUSE_SECONDS)
+            written = await self._record.write(
+                prepared.current, prepared.content
+            )
+            if is_successful(written):
+                return _accept(prepared, written.unwrap().version)
+            failure = written.failure()
+            if failure is StoreFailure.conflict:
+                return await self._read_back(request, lost)
+            # Once an answer was lost, only a later one can tell. The same
+            # conditional write again takes effect at most once.
+            lost = lost or failure is StoreFailure.lost
+            if not lost:
+                reason = Finding('platform', f'took no write ({failure})')
+                return report_unwritten(request.base, (reason,))
+        return report_unknown(request.patch_id, request.base)
+
+    async def _read_back(
+        self, request: PatchRequest, lost: bool
+    ) -> PatchOutcome:
+        """Return the outcome of a write that found another object."""
+        current = await self._record.read(request.base + 1, None)
+        newest = current.map(lambda found: found.stored).value_or(
+            StoredConfiguration(request.base, {})
+        )
+        earlier = newest.find_patch(request.patch_id)
+        if earlier is not None:
+            return tell_accepted(earlier)
+        # After a lost answer the patch may have been accepted and its record
+        # have left the tail since; only a tail that reaches back can tell.
+        if lost and not newest.reaches(request.base + 1):
+            return report_unknown(request.patch_id, newest.number)
+        return refuse_patch(
+            newest.number, (describe_race(request.base, newest),)
+        )
+
+
+def _check_change(
+    before: StoredConfiguration, document: Any, now_wall: float
+) -> Result[Configuration, tuple[Finding, ...]]:
+    checked = check_document(document, before.number + 1, before.document)
+    if not is_successful(checked):
+        return checked
+    late = find_change_faults(
+        before.document.get('moves', {}), checked.unwrap(), now_wall
+    )
+    return Failure(late) if late else checked
+
+
+def _accept(prepared: _Prepared, version: int) -> PatchOutcome:
+    return PatchOutcome(
+        PatchEnding.accepted,
+        prepared.stored.number,
+        accepted_wall=prepared.stored.recent[-1].accepted_wall,
+        stored=prepared.stored,
+        configuration=prepared.configuration,
+        version=version,
+    )
--- /dev/null
+++ b/src/monsoonwall/decisions/adoption.py
@@ -0,0 +1,117 @@
+"""Decide which configuration a host adopts, and when it may serve."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from xxhash import xxh3_64_intdigest
+
+# How long a starting host waits for other hosts to tell their numbers.
+PEER_WAIT_SECONDS: Final = 1.0
+WATCHERS_PER_ZONE: Final = 2
+
+
+class Verdict(StrEnum):
+    """Name what to do with an offered configuration."""
+
+    adopt = 'adopt'
+    older = 'older'
+    held = 'held'
+    contradiction = 'contradiction'
+    refused_before = 'refused_before'
+
+
+@dataclass(frozen=True)
+class Numbered:
+    """Identify a configuration by its number and its document's digest."""
+
+    number: int
+    digest: str
+
+
+@dataclass(frozen=True)
+class StartView:
+    """Hold what a starting host knows; times are monotonic seconds.
+
+    ``peer_numbers`` are what other live hosts say they hold.
+    """
+
+    held_number: int
+    platform_answered: bool
+    has_peers: bool
+    peer_numbers: tuple[int, ...]
+    started: float
+
+
+@dataclass(frozen=True)
+class ZoneHost:
+    """Name a live host and its availability zone."""
+
+    name: str
+    zone: str
+
+
+class Adoption:
+    """Guard the number in force on one host: it only grows."""
+
+    def __init__(self) -> None:
+        self.held = Numbered(0, '')
+        self._refused: set[Numbered] = set()
+
+    def weigh(self, offer: Numbered) -> Verdict:
+        """Return what to do with an offer; adopting needs it checked."""
+        if offer.number < self.held.number:
+            return Verdict.older
+        if offer == self.held:
+            return Verdict.held
+        if offer.number == self.held.number:
+            return Verdict.contradiction
+        if offer in self._refused:
+            return Verdict.refused_before
+        return Verdict.adopt
+
+    def refuse(self, offer: Numbered) -> None:
+        """Remember an offer that did not pass its checks."""
+        # Only what lies ahead can be offered again with a chance.
+        self._refused = {
+            known for known in self._refused if known.number > self.held.number
+        } | {offer}
+
+    def adopt(self, offer: Numbered) -> bool:
+        """Put a checked offer in force; return whether it is news."""
+        if self.weigh(offer) is not Verdict.adopt:
+            return False
+        self.held = offer
+        return True
+
+
+def may_begin(view: StartView, now: float) -> bool:
+    """Return whether a starting host may serve with what it holds.
+
+    It needs a configuration at least as new as any peer tells of, and
+    either the word of the platform and the peers, or, in an outage of the
+    platform, that of the peers alone.
+    """
+    if not view.held_number:
+        return False
+    if view.held_number < max(view.peer_numbers, default=0):
+        return False
+    heard = any(view.peer_numbers)
+    waited = now >= view.started + PEER_WAIT_SECONDS
+    if view.platform_answered:
+        return heard or not view.has_peers or waited
+    return heard
+
+
+def choose_watchers(hosts: Iterable[ZoneHost], zone: str) -> tuple[str, ...]:
+    """Return the hosts of a zone that watch the platform for all others.
+
+    All hosts with the same view choose the same; a host alone chooses
+    itself.
+    """
+    ranked = sorted(
+        {host.name for host in hosts if host.zone == zone},
+        key=lambda name: (xxh3_64_intdigest(name), name),
+    )
+    return tuple(ranked[:WATCHERS_PER_ZONE])
--- /dev/null
+++ b/src/monsoonwall/decisions/currency.py
@@ -0,0 +1,87 @@
+"""Decide what a host may do with a configuration that may be old.
+
+A host's configuration is confirmed by a call to the platform that found no
+newer one; it counts from when that call began. Watchers share what they
+confirmed over the mesh. Past the currency deadline a newer configuration may
+have been accepted without this host, and work that could contradict it stops.
+"""
+
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from typing import Final
+
+# How long after its confirmation a configuration may guide guarded work.
+CURRENCY_SECONDS: Final = 7.0
+# The most that two hosts' wall clocks are taken to differ.
+CLOCK_SKEW_SECONDS: Final = 1.0
+
+
+class Work(StrEnum):
+    """Name what a host does under its configuration."""
+
+    idempotent_call = 'idempotent_call'
+    withdrawal = 'withdrawal'
+    non_idempotent_call = 'non_idempotent_call'
+    move_step = 'move_step'
+    order = 'order'
+
+
+GUARDED_WORK: Final = frozenset(
+    (Work.non_idempotent_call, Work.move_step, Work.order)
+)
+
+
+@dataclass(frozen=True)
+class Currency:
+    """Hold which number was last confirmed, and when (Unix seconds)."""
+
+    number: int = 0
+    confirmed_wall: float = 0
+
+    @property
+    def deadline_wall(self) -> float:
+        """Return until when guarded work may go on.
+
+        The margin covers a confirming host whose clock runs ahead.
+        """
+        if not self.number:
+            return 0
+        return self.confirmed_wall + CURRENCY_SECONDS - CLOCK_SKEW_SECONDS
+
+
+def adopt_number(currency: Currency, number: int) -> Currency:
+    """Return the currency of a newly adopted, unconfirmed number."""
+    if number <= currency.number:
+        return currency
+    return replace(currency, number=number, confirmed_wall=0)
+
+
+def confirm_number(
+    currency: Currency, number: int, confirmed_wall: float, now_wall: float
+) -> Currency:
+    """Return the currency after a confirmation of some number.
+
+    One of another number says nothing of the held one. A time further
+    ahead than clocks may differ is worth no more than now.
+    """
+    if number != currency.number or not number:
+        return currency
+    latest = now_wall + CLOCK_SKEW_SECONDS
+    believed = min(confirmed_wall, latest)
+    return replace(
+        currency, confirmed_wall=max(currency.confirmed_wall, believed)
+    )
+
+
+def may_work(currency: Currency, work: Work, now_wall: float) -> bool:
+    """Return whether a kind of work may go on at a time."""
+    return work not in GUARDED_WORK or now_wall < currency.deadline_wall
+
+
+def settle_time(accepted_wall: float) -> float:
+    """Return from when no host does guarded work under earlier numbers.
+
+    Hosts count from a confirmation that the acceptance ended, so the
+    deadline of each lies before this time on the acceptor's clock too.
+    """
+    return accepted_wall + CURRENCY_SECONDS + CLOCK_SKEW_SECONDS
