--- /dev/null
+++ b/src/monsoonwall/commands/explain.py
@@ -0,0 +1,80 @@
+"""Explain where a call goes and why."""
+
+from collections.abc import Sequence
+from urllib.parse import urlencode
+
+from absl.flags import DEFINE_list, DEFINE_string, FlagValues
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from monsoonwall.commands.client import (
+    ExitStatus,
+    call_host,
+    print_error,
+    print_json,
+    print_tree,
+)
+from monsoonwall.findings import Finding, format_findings
+from monsoonwall.settings import (
+    OperatorSettings,
+    check_operator_settings,
+    define_operator_flags,
+    parse_flags,
+)
+
+
+def define_explain_flags(values: FlagValues) -> None:
+    """Define the flags of this command."""
+    define_operator_flags(values)
+    DEFINE_string('route', '', 'Route of the call.', flag_values=values)
+    DEFINE_string('workspace', '', 'Workspace of the call.', flag_values=values)
+    DEFINE_string(
+        'request_id', '', 'Request to tell about.', flag_values=values
+    )
+    DEFINE_list(
+        'with',
+        [],
+        'Further facts of the call, as name=value.',
+        flag_values=values,
+    )
+
+
+def run_explain(arguments: Sequence[str]) -> int:
+    """Print the explanation and return the exit status."""
+    parsed = parse_flags(define_explain_flags, arguments)
+    checked = parsed.bind(lambda found: check_operator_settings(found[0]))
+    query = parsed.bind(lambda found: _make_query(found[0]))
+    for outcome in (checked, query):
+        if not is_successful(outcome):
+            print_error(format_findings(outcome.failure()))
+            return ExitStatus.usage
+    return _print_answer(checked.unwrap(), query.unwrap())
+
+
+def _make_query(values: FlagValues) -> Result[str, tuple[Finding, ...]]:
+    given = {
+        name: values[name].value
+        for name in ('route', 'workspace', 'request_id')
+        if values[name].value
+    }
+    if not given.get('route') and not given.get('request_id'):
+        return Failure(
+            (Finding('--route', 'set it, or --request_id, or both'),)
+        )
+    for pair in values['with'].value:
+        name, _, fact = pair.partition('=')
+        given[name] = fact
+    return Success(urlencode(given))
+
+
+def _print_answer(settings: OperatorSettings, query: str) -> int:
+    answer = call_host(settings, f'/admin/explain?{query}')
+    if not is_successful(answer):
+        print_error(answer.failure())
+        return ExitStatus.unknown
+    sections = answer.unwrap().content
+    if settings.json_output:
+        print_json(sections)
+    else:
+        print_tree(sections)
+    return ExitStatus.done
--- /dev/null
+++ b/src/monsoonwall/commands/files.py
@@ -0,0 +1,25 @@
+"""Read the JSON files that operators hand over."""
+
+import sys
+from pathlib import Path
+from typing import Any
+
+from msgspec import DecodeError, json
+from returns.result import Failure, Result, Success
+
+from monsoonwall.findings import Finding
+
+
+def read_json_file(name: str) -> Result[Any, tuple[Finding, ...]]:
+    """Return the content of a file; ``-`` stands for standard input."""
+    if not name:
+        return Failure((Finding('--file', 'must be set; - reads the input'),))
+    try:
+        content = (
+            sys.stdin.buffer.read() if name == '-' else Path(name).read_bytes()
+        )
+        return Success(json.decode(content))
+    except OSError as error:
+        return Failure((Finding('--file', str(error)),))
+    except (DecodeError, RecursionError) as error:
+        return Failure((Finding(name, f'is not JSON: {error}'),))
--- /dev/null
+++ b/src/monsoonwall/commands/patch.py
@@ -0,0 +1,190 @@
+"""Submit a patch against a numbered configuration."""
+
+import secrets
+import time
+from collections.abc import Sequence
+from types import MappingProxyType
+from typing import Any, Final
+
+from absl.flags import DEFINE_float, DEFINE_integer, DEFINE_string, FlagValues
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from monsoonwall.commands.client import (
+    ExitStatus,
+    HostAnswer,
+    call_host,
+    print_error,
+    print_json,
+    print_lines,
+)
+from monsoonwall.commands.files import read_json_file
+from monsoonwall.findings import Finding, format_findings
+from monsoonwall.settings import (
+    OperatorSettings,
+    check_operator_settings,
+    define_operator_flags,
+    parse_flags,
+)
+
+_ID_BYTES: Final = 6
+_POLL_SECONDS: Final = 0.2
+_STATUSES: Final = MappingProxyType(
+    {
+        'accepted': ExitStatus.done,
+        'refused': ExitStatus.refused,
+        'platform_unavailable': ExitStatus.refused,
+    }
+)
+
+
+def define_patch_flags(values: FlagValues) -> None:
+    """Define the flags of this command."""
+    define_operator_flags(values)
+    DEFINE_integer(
+        'base',
+        None,
+        'Number of the configuration that the patch is for; 0 for the first.',
+        flag_values=values,
+        lower_bound=0,
+    )
+    DEFINE_string(
+        'file',
+        '',
+        'File with the patch: a JSON array is a JSON patch (RFC 6902), an '
+        'object a merge patch (RFC 7386); - reads standard input.',
+        flag_values=values,
+    )
+    DEFINE_string(
+        'patch_id',
+        '',
+        'Id of a patch submitted before, to find out how it ended.',
+        flag_values=values,
+    )
+    DEFINE_float(
+        'wait_seconds',
+        5,
+        'Time to wait until all reachable hosts have it in force.',
+        flag_values=values,
+        lower_bound=0,
+    )
+
+
+def run_patch(arguments: Sequence[str]) -> int:
+    """Submit the patch and return the exit status."""
+    parsed = parse_flags(define_patch_flags, arguments)
+    read = parsed.bind(lambda found: _read_inputs(found[0]))
+    if not is_successful(read):
+        print_error(format_findings(read.failure()))
+        return ExitStatus.usage
+    body = read.unwrap()
+    values = parsed.unwrap()[0]
+    settings = check_operator_settings(values).unwrap()
+    answer = call_host(settings, '/admin/patch', body)
+    if not is_successful(answer):
+        print_error(_advise_repeat(body, answer.failure()))
+        return ExitStatus.unknown
+    return _conclude(settings, values, body, answer.unwrap())
+
+
+def _read_inputs(
+    values: FlagValues,
+) -> Result[dict[str, Any], tuple[Finding, ...]]:
+    base = values['base'].value
+    patch = read_json_file(values['file'].value)
+    settings = check_operator_settings(values)
+    findings = [
+        finding
+        for outcome in (patch, settings)
+        if not is_successful(outcome)
+        for finding in outcome.failure()
+    ]
+    if base is None:
+        findings.append(
+            Finding('--base', 'must be set; the status tells the number')
+        )
+    if findings:
+        return Failure(tuple(findings))
+    patch_id = values['patch_id'].value or secrets.token_hex(_ID_BYTES)
+    return Success(
+        {'base': base, 'patch_id': patch_id, 'patch': patch.unwrap()}
+    )
+
+
+def _conclude(
+    settings: OperatorSettings,
+    values: FlagValues,
+    body: dict[str, Any],
+    answer: HostAnswer,
+) -> int:
+    outcome = answer.content
+    if 'ending' not in outcome:
+        print_error(f'refused: {outcome.get("error", outcome)}')
+        return ExitStatus.refused
+    if outcome['ending'] == 'accepted':
+        deadline = time.monotonic() + values['wait_seconds'].value
+        outcome['in_force'] = _wait_in_force(
+            settings, outcome['number'], deadline
+        )
+    if settings.json_output:
+        print_json({**outcome, 'patch_id': body['patch_id']})
+    else:
+        _print_outcome(outcome, body['patch_id'])
+    return _STATUSES.get(outcome['ending'], ExitStatus.unknown)
+
+
+def _wait_in_force(
+    settings: OperatorSettings, number: int, deadline: float
+) -> dict[str, Any]:
+    """Return which hosts have the number in force, once all or at last."""
+    while True:
+        answer = call_host(settings, '/admin/status')
+        hosts = answer.map(_list_hosts).value_or({})
+        behind = sorted(name for name in hosts if hosts[name] < number)
+        done = bool(hosts) and not behind
+        if done or time.monotonic() >= deadline:
+            return {'hosts': len(hosts), 'behind': behind}
+        time.sleep(_POLL_SECONDS)
+
+
+def _list_hosts(answer: HostAnswer) -> dict[str, int]:
+    hosts = answer.content.get('configuration', {}).get('hosts', [])
+    return {told['host']: told['note']['number'] for told in hosts}
+
+
+def _print_outcome(outcome: dict[str, Any], patch_id: str) -> None:
+    ending = outcome['ending']
+    number = outcome['number']
+    if ending != 'accepted':
+        print_lines(
+            f'patch {patch_id}: {ending}; the configuration is {number}',
+            *(
+                f'  {one["place"]}: {one["reason"]}'
+                for one in outcome['findings']
+            ),
+        )
+        return
+    hosts = outcome['in_force']['hosts']
+    behind = outcome['in_force']['behind']
+    reached = hosts - len(behind)
+    settled = time.strftime('%H:%M:%S', time.localtime(outcome['settled_wall']))
+    print_lines(
+        f'patch {patch_id}: accepted as number {number}',
+        f'  in force on {reached} of {hosts} reachable hosts',
+        f'  hosts cut off stop guarded work by {settled}',
+        *(f'  not yet in force on {name}' for name in behind),
+    )
+
+
+def _describe_finding(finding: dict[str, str]) -> str:
+    place = finding['place']
+    reason = finding['reason']
+    return f'  {place}: {reason}'
+
+
+def _advise_repeat(body: dict[str, Any], reason: str) -> str:
+    patch_id = body['patch_id']
+    return (
+        f'{reason}; the patch may be accepted, submit it again with '
+        f'--patch_id={patch_id} to find out'
+    )
--- /dev/null
+++ b/src/monsoonwall/commands/status.py
@@ -0,0 +1,64 @@
+"""Show the state of the hosts and of the moves."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from returns.pipeline import is_successful
+
+from monsoonwall.commands.client import (
+    ExitStatus,
+    call_host,
+    print_error,
+    print_json,
+    print_lines,
+    print_tree,
+)
+from monsoonwall.findings import format_findings
+from monsoonwall.settings import (
+    check_operator_settings,
+    define_operator_flags,
+    parse_flags,
+)
+
+
+def run_status(arguments: Sequence[str]) -> int:
+    """Print the status and return the exit status."""
+    parsed = parse_flags(define_operator_flags, arguments)
+    checked = parsed.bind(lambda found: check_operator_settings(found[0]))
+    if not is_successful(checked):
+        print_error(format_findings(checked.failure()))
+        return ExitStatus.usage
+    settings = checked.unwrap()
+    answer = call_host(settings, '/admin/status')
+    if not is_successful(answer):
+        print_error(answer.failure())
+        return ExitStatus.unknown
+    sections = answer.unwrap().content
+    if settings.json_output:
+        print_json(sections)
+    else:
+        _print_sections(sections)
+    return ExitStatus.done
+
+
+def _print_sections(sections: dict[str, Any]) -> None:
+    for section, content in sections.items():
+        print_lines(f'{section}:')
+        if section == 'configuration' and 'hosts' in content:
+            _print_configuration(content)
+        else:
+            print_tree(content, '  ')
+
+
+def _print_configuration(content: dict[str, Any]) -> None:
+    age = 'current' if content['current'] else 'may be old'
+    print_lines(f'  number {content["number"]} on this host, {age}')
+    for problem in content['problems']:
+        print_lines(f'  not adopted: {problem}')
+    by_zone: dict[str, list[str]] = {}
+    for told in content['hosts']:
+        note = told['note']
+        line = f'    {told["host"]}: number {note["number"]} {note["problem"]}'
+        by_zone.setdefault(note['zone'], []).append(line.rstrip())
+    for zone in sorted(by_zone):
+        print_lines(f'  zone {zone}:', *sorted(by_zone[zone]))
--- a/src/monsoonwall/configuration/announcement.py
+++ b/src/monsoonwall/configuration/announcement.py
@@ -15,6 +15,7 @@
 
 from monsoonwall.configuration.patching import apply_patch
 from monsoonwall.configuration.stored import (
+    MAX_RECENT,
     AcceptedPatch,
     StoredConfiguration,
     decode_stored,
@@ -27,7 +28,7 @@
 MAX_WHOLE_BYTES: Final = 4_000
 _MAX_TAIL_BYTES: Final = 4_000
 _MAX_ANNOUNCED_BYTES: Final = 100_000
-_NUMBER_BYTES: Final = 8
+NUMBER_BYTES: Final = 8
 
 
 @dataclass(frozen=True)
@@ -44,7 +45,7 @@
 
     It begins with the number, so that of two facts the newer one stands.
     """
-    head = stored.number.to_bytes(_NUMBER_BYTES, 'big')
+    head = stored.number.to_bytes(NUMBER_BYTES, 'big')
     whole = zlib.compress(encode_stored(stored))
     if len(whole) <= MAX_WHOLE_BYTES:
         return b'%bW%b' % (head, whole)
@@ -58,9 +59,9 @@
 
 def decode_announcement(payload: bytes) -> Result[Announcement, Finding]:
     """Return what a fact tells, or why it is unreadable."""
-    number = int.from_bytes(payload[:_NUMBER_BYTES], 'big')
-    kind = payload[_NUMBER_BYTES : _NUMBER_BYTES + 1]
-    rest = payload[_NUMBER_BYTES + 1 :]
+    number = int.from_bytes(payload[:NUMBER_BYTES], 'big')
+    kind = payload[NUMBER_BYTES : NUMBER_BYTES + 1]
+    rest = payload[NUMBER_BYTES + 1 :]
     if kind == b'W':
         return Success(Announcement(number, rest, ()))
     try:
@@ -103,8 +104,9 @@
         document = patched.unwrap()
     if not missing or digest_document(document) != missing[-1].digest:
         return None
+    recent = (*held.recent, *missing)[-MAX_RECENT:]
     return StoredConfiguration(
-        announcement.number, document, (*held.recent, *missing)
+        announcement.number, document, drop_patches(recent)
     )
 
 
--- /dev/null
+++ b/src/monsoonwall/configuration/enforcement.py
@@ -0,0 +1,136 @@
+"""Put configurations in force on one host, and say what they allow."""
+
+from collections.abc import Callable
+from typing import Final
+
+from monsoonwall.clocks import Clock
+from monsoonwall.configuration.announcement import (
+    NUMBER_BYTES,
+    encode_announcement,
+)
+from monsoonwall.configuration.keeper import ConfigurationKeeper, Intake
+from monsoonwall.configuration.model import Configuration
+from monsoonwall.configuration.neighbours import HostIdentity, Neighbours
+from monsoonwall.configuration.notes import ANNOUNCED, CURRENT_KEY, HostNote
+from monsoonwall.decisions.adoption import StartView, may_begin
+from monsoonwall.decisions.currency import (
+    Currency,
+    Work,
+    adopt_number,
+    confirm_number,
+    hear_number,
+    may_work,
+)
+from monsoonwall.mesh.board import Board, Fact
+
+# The fact is replaced by the next one and must not go before.
+_FACT_SECONDS: Final = 31_536_000
+# Notes may overtake the announcement that tells of the same number.
+_OVERTAKE_SECONDS: Final = 1.0
+
+
+class Enforcement:
+    """Follow the keeper: put in force, announce, keep the currency."""
+
+    def __init__(
+        self,
+        identity: HostIdentity,
+        neighbours: Neighbours,
+        board: Board,
+        clock: Clock,
+        adopt: Callable[[Configuration], None],
+    ) -> None:
+        self.keeper = ConfigurationKeeper()
+        self.currency = Currency()
+        self.serving = False
+        self._zone = identity.zone
+        self._has_peers = identity.has_peers
+        self._neighbours = neighbours
+        self._board = board
+        self._clock = clock
+        self._adopt = adopt
+        self._answered = False
+        self._started = clock.read_monotonic()
+        self._level_at = self._started
+
+    def may_work(self, work: Work) -> bool:
+        """Return whether this host may do a kind of work now."""
+        return may_work(self.currency, work, self._clock.read_wall())
+
+    def settle(self, intake: Intake) -> None:
+        """Follow up an offer that the keeper has taken."""
+        if intake.superseded:
+            self.hear(intake.number)
+        if intake.adopted:
+            self.currency = adopt_number(self.currency, intake.number)
+            self._announce()
+            self.activate()
+
+    def hear(self, number: int) -> None:
+        """Note that another host has a number in force."""
+        self.currency = hear_number(self.currency, number)
+
+    def hear_platform(self) -> None:
+        """Note that the platform told what it holds."""
+        self._answered = True
+        if not self.serving:
+            self.activate()
+
+    def confirm(self, number: int, confirmed_wall: float) -> None:
+        """Note that a number was the newest at a time (Unix seconds)."""
+        self.currency = confirm_number(
+            self.currency, number, confirmed_wall, self._clock.read_wall()
+        )
+
+    def activate(self) -> None:
+        """Serve with what is held, or wait if this host only starts."""
+        configuration = self.keeper.configuration
+        if configuration is None:
+            return
+        if self.serving or self._may_begin():
+            self.serving = True
+            self._adopt(configuration)
+
+    def is_behind(self, now: float) -> bool:
+        """Return whether a newer number has been known for too long."""
+        if self.currency.known <= self.keeper.held.number:
+            self._level_at = now
+        return now > self._level_at + _OVERTAKE_SECONDS
+
+    def make_note(self) -> HostNote:
+        """Return what to tell the other hosts."""
+        problems = self.keeper.problems
+        watching = self._neighbours.watching
+        return HostNote(
+            self._zone,
+            self.keeper.held.number if self.serving else 0,
+            self.currency.confirmed_wall if watching else 0,
+            str(problems[0]) if problems else '',
+        )
+
+    def _may_begin(self) -> bool:
+        view = StartView(
+            self.keeper.held.number,
+            self._answered,
+            self._has_peers,
+            self._neighbours.list_peer_numbers(),
+            self._started,
+        )
+        return may_begin(view, self._clock.read_monotonic())
+
+    def _announce(self) -> None:
+        stored = self.keeper.read_held()
+        if stored is None:
+            return
+        payload = encode_announcement(stored)
+        known = max(
+            (fact.payload for fact in self._board.read_facts(ANNOUNCED)),
+            default=b'',
+        )
+        # Hosts may word the same number differently; one wording is enough.
+        if known[:NUMBER_BYTES] >= payload[:NUMBER_BYTES]:
+            return
+        expires_wall = self._clock.read_wall() + _FACT_SECONDS
+        self._board.publish_fact(
+            Fact(ANNOUNCED, CURRENT_KEY, payload, expires_wall)
+        )
--- /dev/null
+++ b/src/monsoonwall/configuration/keeper.py
@@ -0,0 +1,153 @@
+"""Hold the configuration of one host and take newer ones."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from returns.pipeline import is_successful
+
+from monsoonwall.configuration.announcement import (
+    decode_announcement,
+    derive_stored,
+)
+from monsoonwall.configuration.document import check_document
+from monsoonwall.configuration.model import Configuration
+from monsoonwall.configuration.stored import (
+    StoredConfiguration,
+    decode_stored,
+    digest_document,
+    encode_stored,
+)
+from monsoonwall.decisions.adoption import Adoption, Numbered, Verdict
+from monsoonwall.findings import Finding, format_findings
+from monsoonwall.logs import make_logger
+from monsoonwall.metrics import CONFIGURATION_OFFERS
+
+_log = make_logger('configuration')
+
+
+class Source(StrEnum):
+    """Name where an offered configuration came from."""
+
+    platform = 'platform'
+    mesh = 'mesh'
+
+
+@dataclass(frozen=True)
+class Intake:
+    """Tell what became of an offer.
+
+    ``number`` is the offer's, 0 if unreadable. ``superseded`` says that a
+    newer configuration was accepted which this host cannot adopt.
+    """
+
+    number: int
+    adopted: bool
+    superseded: bool = False
+
+
+class ConfigurationKeeper:
+    """Adopt checked configurations with growing numbers only."""
+
+    def __init__(self) -> None:
+        self._adoption = Adoption()
+        self._content: bytes | None = None
+        self.configuration: Configuration | None = None
+        self.problems: tuple[Finding, ...] = ()
+
+    @property
+    def held(self) -> Numbered:
+        """Return the number and digest in force; number 0 for none."""
+        return self._adoption.held
+
+    def read_content(self) -> bytes | None:
+        """Return what is in force as the platform's object holds it."""
+        return self._content
+
+    def read_held(self) -> StoredConfiguration | None:
+        """Return a copy of what is in force."""
+        if self._content is None:
+            return None
+        return decode_stored(self._content).unwrap()
+
+    def take_object(
+        self, content: bytes, source: Source = Source.platform
+    ) -> Intake:
+        """Take the content of the platform's object or a peer's copy."""
+        decoded = decode_stored(content)
+        if not is_successful(decoded):
+            self._report(source, 'unreadable', decoded.failure())
+            return Intake(0, adopted=False)
+        return self.take_stored(decoded.unwrap(), source)
+
+    def take_announcement(self, payload: bytes) -> Intake | None:
+        """Take what the mesh tells; None if the whole must be read."""
+        decoded = decode_announcement(payload)
+        if not is_successful(decoded):
+            self._report(Source.mesh, 'unreadable', (decoded.failure(),))
+            return None
+        announcement = decoded.unwrap()
+        if announcement.number <= self.held.number:
+            return Intake(announcement.number, adopted=False)
+        derived = derive_stored(announcement, self.read_held())
+        if derived is None:
+            return None
+        return self.take_stored(derived, Source.mesh)
+
+    def take_stored(
+        self, stored: StoredConfiguration, source: Source = Source.platform
+    ) -> Intake:
+        """Take a decoded configuration."""
+        offer = Numbered(stored.number, digest_document(stored.document))
+        verdict = self._adoption.weigh(offer)
+        CONFIGURATION_OFFERS.labels(source, verdict).inc()
+        if verdict is Verdict.adopt:
+            return self._adopt_checked(offer, stored, source)
+        if verdict is Verdict.contradiction:
+            self._report(source, verdict, (_describe_contradiction(offer),))
+        superseded = verdict is Verdict.refused_before and stored.is_sealed()
+        return Intake(stored.number, adopted=False, superseded=superseded)
+
+    def _adopt_checked(
+        self, offer: Numbered, stored: StoredConfiguration, source: Source
+    ) -> Intake:
+        checked = check_document(
+            stored.document, stored.number, self._read_checked()
+        )
+        if not is_successful(checked):
+            self._adoption.refuse(offer)
+            self._report(source, 'refused', checked.failure())
+            return Intake(
+                stored.number, adopted=False, superseded=stored.is_sealed()
+            )
+        self._adoption.adopt(offer)
+        self._content = encode_stored(stored)
+        self.configuration = checked.unwrap()
+        self.problems = ()
+        _log.info('Configuration adopted.', number=stored.number, source=source)
+        return Intake(stored.number, adopted=True)
+
+    def _read_checked(self) -> Any:
+        held = self.read_held()
+        return None if held is None else held.document
+
+    def _report(
+        self, source: Source, ending: str, findings: tuple[Finding, ...]
+    ) -> None:
+        CONFIGURATION_OFFERS.labels(source, ending).inc()
+        if findings == self.problems:
+            return
+        self.problems = findings
+        _log.error(
+            'Configuration not adopted.',
+            source=source,
+            findings=format_findings(findings),
+        )
+
+
+def _describe_contradiction(offer: Numbered) -> Finding:
+    return Finding(
+        '/number',
+        f'{offer.number} stands for two documents; the one adopted first '
+        'stays in force until a later patch',
+    )
--- a/src/monsoonwall/configuration/outcomes.py
+++ b/src/monsoonwall/configuration/outcomes.py
@@ -27,12 +27,17 @@
 
 @dataclass(frozen=True)
 class PatchOutcome:
-    """Tell how a patch ended and the newest number seen, if any."""
+    """Tell how a patch ended and the newest number seen, if any.
+
+    From ``settled_wall`` on, no host does guarded work under an earlier
+    number; Unix seconds, 0 if the patch was not accepted.
+    """
 
     ending: PatchEnding
     number: int
     findings: tuple[Finding, ...] = ()
     accepted_wall: float = 0
+    settled_wall: float = 0
     stored: StoredConfiguration | None = None
     configuration: Configuration | None = None
     version: int = 0
--- a/src/monsoonwall/configuration/stored.py
+++ b/src/monsoonwall/configuration/stored.py
@@ -19,7 +19,7 @@
 # Larger objects are compressed, since the platform limits their size.
 _PLAIN_BYTES: Final = 200_000
 _MAX_DECODED_BYTES: Final = 32_000_000
-_MAX_RECENT: Final = 64
+MAX_RECENT: Final = 64
 _MAX_PATCH_BYTES: Final = 16_000
 
 
@@ -80,7 +80,7 @@
     before: StoredConfiguration, document: Any, patch: AcceptedPatch
 ) -> StoredConfiguration:
     """Return the configuration that follows, with its tail kept short."""
-    recent = (*before.recent, patch)[-_MAX_RECENT:]
+    recent = (*before.recent, patch)[-MAX_RECENT:]
     return StoredConfiguration(patch.number, document, drop_patches(recent))
 
 
--- a/src/monsoonwall/configuration/submission.py
+++ b/src/monsoonwall/configuration/submission.py
@@ -37,7 +37,11 @@
     extend_stored,
 )
 from monsoonwall.findings import Finding
-from monsoonwall.platform.objects import MAX_OBJECT_BYTES, StoreFailure
+from monsoonwall.platform.objects import (
+    MAX_OBJECT_BYTES,
+    ObjectStore,
+    StoreFailure,
+)
 
 
 @dataclass(frozen=True)
@@ -62,8 +66,8 @@
 class PatchDesk:
     """Carry patches to the platform and tell truly how each ended."""
 
-    def __init__(self, record: ConfigurationRecord, clock: Clock) -> None:
-        self._record = record
+    def __init__(self, store: ObjectStore, clock: Clock) -> None:
+        self._record = ConfigurationRecord(store)
         self._clock = clock
 
     async def submit(
--- a/src/monsoonwall/decisions/adoption.py
+++ b/src/monsoonwall/decisions/adoption.py
@@ -112,6 +112,6 @@
     """
     ranked = sorted(
         {host.name for host in hosts if host.zone == zone},
-        key=lambda name: (xxh3_64_intdigest(name), name),
+        key=lambda name: (xxh3_64_intdigest(name.encode()), name),
     )
     return tuple(ranked[:WATCHERS_PER_ZONE])
--- a/src/monsoonwall/decisions/currency.py
+++ b/src/monsoonwall/decisions/currency.py
@@ -33,10 +33,15 @@
 
 @dataclass(frozen=True)
 class Currency:
-    """Hold which number was last confirmed, and when (Unix seconds)."""
+    """Hold the number in force and when it was last confirmed.
+
+    ``known`` is the highest number that this host has heard of. Times are
+    Unix seconds.
+    """
 
     number: int = 0
     confirmed_wall: float = 0
+    known: int = 0
 
     @property
     def deadline_wall(self) -> float:
@@ -44,7 +49,7 @@
 
         The margin covers a confirming host whose clock runs ahead.
         """
-        if not self.number:
+        if self.number < max(1, self.known):
             return 0
         return self.confirmed_wall + CURRENCY_SECONDS - CLOCK_SKEW_SECONDS
 
@@ -56,6 +61,11 @@
     return replace(currency, number=number, confirmed_wall=0)
 
 
+def hear_number(currency: Currency, number: int) -> Currency:
+    """Return the currency once some host was heard to hold a number."""
+    return replace(currency, known=max(currency.known, number))
+
+
 def confirm_number(
     currency: Currency, number: int, confirmed_wall: float, now_wall: float
 ) -> Currency:
--- /dev/null
+++ b/src/monsoonwall/entry/admin.py
@@ -0,0 +1,132 @@
+"""Serve operators over HTTP."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+from msgspec import DecodeError, Struct, ValidationError, json
+
+from monsoonwall.configuration.outcomes import PatchEnding, PatchOutcome
+from monsoonwall.configuration.stored import decode_stored
+from monsoonwall.configuration.submission import PatchRequest
+from monsoonwall.entry.configuring import ConfigurationTask
+from monsoonwall.entry.reporting import Question, Reports
+from monsoonwall.entry.web import JsonHandler
+from monsoonwall.pipeline.messages import Effect, Refusal, RefusalReason
+
+_STATUSES: Final[Mapping[PatchEnding, int]] = MappingProxyType(
+    {
+        PatchEnding.accepted: 200,
+        PatchEnding.refused: 409,
+        PatchEnding.unavailable: 503,
+        PatchEnding.unknown: 504,
+    }
+)
+
+
+class _PatchBody(Struct, forbid_unknown_fields=True):
+    base: int
+    patch_id: str
+    patch: list[Any] | dict[str, Any]
+
+
+class _ConfiguringHandler(JsonHandler):
+    def initialize(self, configuring: ConfigurationTask) -> None:
+        """Take what the handler works with."""
+        self._configuring = configuring
+
+
+class PatchHandler(_ConfiguringHandler):
+    """Take operators' patches."""
+
+    async def post(self) -> None:
+        """Answer how the patch ended, once that is known."""
+        try:
+            body = json.decode(self.request.body, type=_PatchBody)
+        except (DecodeError, ValidationError, RecursionError) as error:
+            self.refuse(
+                Refusal(RefusalReason.bad_request, Effect.not_run, str(error))
+            )
+            return
+        outcome = await self._configuring.submit(
+            PatchRequest(body.base, body.patch_id, body.patch)
+        )
+        self.set_status(_STATUSES[outcome.ending])
+        self.write_json(self._describe(outcome))
+
+    def _describe(self, outcome: PatchOutcome) -> dict[str, Any]:
+        report = self._configuring.describe()
+        return {
+            'ending': outcome.ending,
+            'number': outcome.number,
+            'accepted_wall': outcome.accepted_wall,
+            'settled_wall': outcome.settled_wall,
+            'findings': outcome.findings,
+            'hosts': len(report.hosts),
+        }
+
+
+class ConfigurationHandler(_ConfiguringHandler):
+    """Show the configuration in force on this host."""
+
+    def get(self) -> None:
+        """Answer the number and the document."""
+        content = self._configuring.read_content()
+        if content is None:
+            self.refuse(
+                Refusal(
+                    RefusalReason.not_ready,
+                    Effect.not_run,
+                    'no configuration adopted yet; submit one on base 0',
+                )
+            )
+            return
+        stored = decode_stored(content).unwrap()
+        self.write_json({'number': stored.number, **stored.document})
+
+
+class StatusHandler(JsonHandler):
+    """Show the state of this host and what it hears of others."""
+
+    def initialize(self, reports: Reports) -> None:
+        """Take what the handler works with."""
+        self._reports = reports
+
+    def get(self) -> None:
+        """Answer every part's section."""
+        self.write_json(self._reports.describe_status())
+
+
+class ExplainHandler(JsonHandler):
+    """Explain decisions."""
+
+    def initialize(self, reports: Reports) -> None:
+        """Take what the handler works with."""
+        self._reports = reports
+
+    def get(self) -> None:
+        """Answer what every part says to a question."""
+        given = {
+            name: self.get_query_argument(name)
+            for name in self.request.query_arguments
+        }
+        question = Question(
+            given.pop('route', ''),
+            given.pop('workspace', ''),
+            given.pop('request_id', ''),
+            given,
+        )
+        self.write_json(self._reports.explain(question))
+
+
+def make_admin_routes(
+    configuring: ConfigurationTask, reports: Reports
+) -> list[Any]:
+    """Return the paths that operators' commands use."""
+    with_task = {'configuring': configuring}
+    return [
+        ('/admin/patch', PatchHandler, with_task),
+        ('/admin/configuration', ConfigurationHandler, with_task),
+        ('/admin/status', StatusHandler, {'reports': reports}),
+        ('/admin/explain', ExplainHandler, {'reports': reports}),
+    ]
--- a/src/monsoonwall/entry/configuring.py
+++ b/src/monsoonwall/entry/configuring.py
@@ -1,72 +1,237 @@
 """Keep the configuration in force on this host current."""
 
 import asyncio
+import random
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 from typing import Final
 
-from msgspec import DecodeError, json
 from returns.pipeline import is_successful
 
 from monsoonwall.clocks import Clock
-from monsoonwall.configuration.document import (
-    CONFIGURATION_KEY,
-    check_document,
-)
+from monsoonwall.configuration.document import CONFIGURATION_KEY
+from monsoonwall.configuration.enforcement import Enforcement
 from monsoonwall.configuration.model import Configuration
-from monsoonwall.findings import format_findings
+from monsoonwall.configuration.neighbours import HostIdentity, Neighbours
+from monsoonwall.configuration.notes import ANNOUNCED, HeldNote
+from monsoonwall.configuration.outcomes import PatchEnding, PatchOutcome
+from monsoonwall.configuration.submission import PatchDesk, PatchRequest
+from monsoonwall.decisions.budget import Backoff
+from monsoonwall.decisions.currency import Work, settle_time
 from monsoonwall.logs import make_logger
-from monsoonwall.platform.objects import CallReason, ObjectStore, StoredObject
+from monsoonwall.mesh.board import Board, Fact
+from monsoonwall.metrics import PATCHES
+from monsoonwall.platform.objects import (
+    CallReason,
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+)
 
-_WATCH_SECONDS: Final = 20.0
-_RETRY_SECONDS: Final = 0.5
+# A watch that ends without news confirms what is in force, so it must be a
+# good deal shorter than the currency deadline.
+_WATCH_SECONDS: Final = 2.0
+_TICK_SECONDS: Final = 0.1
+_FIRST_RETRY_SECONDS: Final = 0.2
+_MOST_RETRY_SECONDS: Final = 3.0
+# Whole reads of all hosts together, per second, after an announcement that
+# was not enough.
+_READS_PER_SECOND: Final = 500
 
 _log = make_logger('configuration')
 
 
+@dataclass(frozen=True)
+class ConfigurationReport:
+    """Describe what this host has in force, and the hosts it hears of."""
+
+    number: int
+    digest: str
+    serving: bool
+    current: bool
+    current_until_wall: float
+    watching: bool
+    problems: tuple[str, ...]
+    hosts: tuple[HeldNote, ...]
+
+
 class ConfigurationTask:
-    """Watch the platform and adopt each newer configuration."""
+    """Follow the platform and the mesh, adopt what is newer, tell others."""
 
     def __init__(
         self,
+        identity: HostIdentity,
         store: ObjectStore,
+        board: Board,
         clock: Clock,
         adopt: Callable[[Configuration], None],
     ) -> None:
         self._store = store
+        self._board = board
         self._clock = clock
-        self._adopt = adopt
-        self._number = 0
+        self._desk = PatchDesk(store, clock)
+        self._backoff = Backoff(_FIRST_RETRY_SECONDS, _MOST_RETRY_SECONDS)
+        self._neighbours = Neighbours(identity, board, clock.read_monotonic())
+        self._force = Enforcement(
+            identity, self._neighbours, board, clock, adopt
+        )
+        self._announced = board.subscribe(ANNOUNCED)
+        self._behind = asyncio.Event()
+        self._version = 0
 
     async def run(self) -> None:
-        """Watch until cancelled."""
+        """Follow until cancelled."""
+        for fact in self._board.read_facts(ANNOUNCED):
+            self._take_fact(fact)
         while True:
-            deadline = self._clock.read_monotonic() + _WATCH_SECONDS
-            found = await self._store.watch(
-                CONFIGURATION_KEY,
-                self._number,
-                deadline,
-                CallReason.configuration,
-            )
-            if is_successful(found):
-                self._take(found.unwrap())
+            try:
+                await self._follow()
+            except Exception as error:
+                # A host that follows no more would fall behind in silence.
+                _log.opt(exception=error).error('Following ended by a defect.')
+            await asyncio.sleep(_MOST_RETRY_SECONDS)
+
+    def may_work(self, work: Work) -> bool:
+        """Return whether this host may do a kind of work now."""
+        return self._force.may_work(work)
+
+    def describe(self) -> ConfigurationReport:
+        """Return what is in force here and elsewhere."""
+        force = self._force
+        return ConfigurationReport(
+            force.keeper.held.number,
+            force.keeper.held.digest,
+            force.serving,
+            force.may_work(Work.order),
+            force.currency.deadline_wall,
+            self._neighbours.watching,
+            tuple(map(str, force.keeper.problems)),
+            self._neighbours.list_notes(),
+        )
+
+    def read_content(self) -> bytes | None:
+        """Return what is in force as the platform's object holds it."""
+        return self._force.keeper.read_content()
+
+    async def submit(self, request: PatchRequest) -> PatchOutcome:
+        """Submit a patch and, once accepted, put it in force here."""
+        held = self._force.keeper.read_held()
+        if held is not None and held.number < self._force.currency.known:
+            # An older configuration must not stand in for a lost newer one.
+            held = None
+        outcome = await self._desk.submit(request, held)
+        if outcome.ending is PatchEnding.accepted:
+            settled_wall = settle_time(self._clock.read_wall())
+            outcome = replace(outcome, settled_wall=settled_wall)
+        PATCHES.labels(outcome.ending).inc()
+        _log.info(
+            'Patch submitted.',
+            patch_id=request.patch_id,
+            ending=outcome.ending,
+            number=outcome.number,
+        )
+        if outcome.stored is not None:
+            self._version = max(self._version, outcome.version)
+            keeper = self._force.keeper
+            self._force.settle(keeper.take_stored(outcome.stored))
+        return outcome
+
+    async def _follow(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._watch())
+            group.create_task(self._follow_announcements())
+            group.create_task(self._follow_notes())
+            group.create_task(self._catch_up())
+            group.create_task(self._tick())
+
+    async def _watch(self) -> None:
+        while True:
+            if self._force.serving and not self._neighbours.watching:
+                await asyncio.sleep(_TICK_SECONDS)
             else:
-                await asyncio.sleep(_RETRY_SECONDS)
+                await self._pause(await self._watch_once())
 
-    def _take(self, stored: StoredObject) -> None:
-        if stored.version <= self._number:
-            return
-        try:
-            document = json.decode(stored.content)
-        except DecodeError as error:
-            _log.error('Configuration is not JSON.', error=str(error))
+    async def _watch_once(self) -> bool:
+        """Wait for news; return whether the platform gave a usable answer."""
+        begun_wall = self._clock.read_wall()
+        found = await self._store.watch(
+            CONFIGURATION_KEY,
+            self._version,
+            self._clock.read_monotonic() + _WATCH_SECONDS,
+            CallReason.configuration,
+        )
+        if is_successful(found):
+            return self._take_object(found.unwrap(), begun_wall)
+        if found.failure() is not StoreFailure.missing:
+            return False
+        self._force.hear_platform()
+        self._force.confirm(self._force.keeper.held.number, begun_wall)
+        return True
+
+    async def _pause(self, useful: bool) -> None:
+        if useful:
+            self._backoff.succeed()
             return
-        checked = check_document(document, stored.version)
-        self._number = stored.version
-        if is_successful(checked):
-            self._adopt(checked.unwrap())
-            _log.info('Configuration adopted.', number=stored.version)
+        now = self._clock.read_monotonic()
+        until = self._backoff.fail(now, random.random())
+        await asyncio.sleep(until - now)
+
+    def _take_object(self, found: StoredObject, begun_wall: float) -> bool:
+        """Take the platform's object; return whether it was no stale one."""
+        if found.version < self._version:
+            return False
+        self._version = found.version
+        keeper = self._force.keeper
+        intake = keeper.take_object(found.content)
+        self._force.settle(intake)
+        self._force.hear_platform()
+        if not intake.superseded:
+            self._force.confirm(keeper.held.number, begun_wall)
+        return True
+
+    async def _follow_announcements(self) -> None:
+        while True:
+            record = await self._announced.get()
+            if isinstance(record, Fact):
+                self._take_fact(record)
+
+    def _take_fact(self, fact: Fact) -> None:
+        intake = self._force.keeper.take_announcement(fact.payload)
+        if intake is None:
+            self._behind.set()
         else:
-            _log.error(
-                'Configuration refused.',
-                findings=format_findings(checked.failure()),
+            self._force.settle(intake)
+
+    async def _follow_notes(self) -> None:
+        while True:
+            note = await self._neighbours.receive()
+            self._force.hear(note.number)
+            self._force.confirm(note.number, note.confirmed_wall)
+
+    async def _catch_up(self) -> None:
+        """Read the whole configuration when told of one not derivable."""
+        while True:
+            await self._behind.wait()
+            # Many hosts are behind at once; they must not read at once.
+            spread = self._neighbours.count / _READS_PER_SECOND
+            await asyncio.sleep(random.uniform(0, spread))
+            self._behind.clear()
+            begun_wall = self._clock.read_wall()
+            found = await self._store.read(
+                CONFIGURATION_KEY, CallReason.configuration
             )
+            if is_successful(found):
+                self._take_object(found.unwrap(), begun_wall)
+            known = self._force.currency.known
+            await self._pause(self._force.keeper.held.number >= known)
+
+    async def _tick(self) -> None:
+        while True:
+            now = self._clock.read_monotonic()
+            self._neighbours.rank(now)
+            if not self._force.serving:
+                self._force.activate()
+            if self._force.is_behind(now):
+                self._behind.set()
+            self._neighbours.tell(self._force.make_note(), now)
+            await asyncio.sleep(_TICK_SECONDS)
--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -3,17 +3,17 @@
 import asyncio
 import signal
 
-from tornado.httpclient import AsyncHTTPClient
 from tornado.httpserver import HTTPServer
 
 from monsoonwall.backends.pool import BackendPool
 from monsoonwall.clocks import Clock
 from monsoonwall.configuration.model import Configuration
-from monsoonwall.entry.configuring import ConfigurationTask
+from monsoonwall.entry.operating import Operating
 from monsoonwall.entry.requests import RequestTasks
 from monsoonwall.entry.state import HostState, Serving
 from monsoonwall.entry.web import make_application, make_routes
 from monsoonwall.logs import make_logger
+from monsoonwall.mesh.board import LocalBoard
 from monsoonwall.metrics import CONFIGURATION_NUMBER
 from monsoonwall.pipeline.acceptance import Acceptance
 from monsoonwall.pipeline.baseline import (
@@ -25,7 +25,6 @@
     RoundRobinRouting,
 )
 from monsoonwall.pipeline.dispatch import Dispatcher, Stages
-from monsoonwall.platform.http_objects import HttpObjectStore
 from monsoonwall.settings import EntrySettings, split_address
 
 _log = make_logger('host')
@@ -40,10 +39,11 @@
         self._state = HostState()
         self._pool = BackendPool(clock)
         self._tasks = RequestTasks(self._state, clock)
-        self._client = AsyncHTTPClient(force_instance=True)
         self._stopping = asyncio.Event()
-        store = HttpObjectStore(settings.platform_address, self._client, clock)
-        self._configuring = ConfigurationTask(store, clock, self.adopt)
+        self._board = LocalBoard(settings.host_name)
+        self._operating = Operating(
+            settings, self._state, self._board, clock, self.adopt
+        )
 
     async def run(self) -> None:
         """Serve until a signal asks for the shutdown."""
@@ -51,7 +51,7 @@
         for asked in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(asked, self._stopping.set)
         server = self._listen()
-        configuring = asyncio.create_task(self._configuring.run())
+        configuring = asyncio.create_task(self._operating.configuring.run())
         _log.info('Entry host started.', address=self._settings.listen_address)
         await self._stopping.wait()
         await self._shut_down(server)
@@ -70,7 +70,7 @@
         self._state.serving = Serving(
             configuration,
             Acceptance(configuration, self._settings.host_name),
-            OpenAdmission(),
+            self._operating.guard(OpenAdmission()),
             OpenScreening(),
             Dispatcher(stages, self._pool, self._clock),
         )
@@ -78,7 +78,12 @@
 
     def _listen(self) -> HTTPServer:
         server = HTTPServer(
-            make_application(make_routes(self._state, self._tasks)),
+            make_application(
+                [
+                    *make_routes(self._state, self._tasks),
+                    *self._operating.make_routes(),
+                ]
+            ),
             max_body_size=self._settings.max_body_bytes,
         )
         host, port = split_address(self._settings.listen_address)
@@ -94,6 +99,6 @@
         left = await self._tasks.drain(drain_deadline)
         server.stop()
         await server.close_all_connections()
-        self._client.close()
+        self._operating.close()
         self._pool.close()
         _log.info('Shutdown done.', requests_left=left)
--- /dev/null
+++ b/src/monsoonwall/entry/operating.py
@@ -0,0 +1,69 @@
+"""Compose what one host needs to be operated by its configuration."""
+
+from collections.abc import Callable
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient
+
+from monsoonwall.clocks import Clock
+from monsoonwall.configuration.guard import CurrencyAdmission
+from monsoonwall.configuration.model import Configuration
+from monsoonwall.configuration.neighbours import HostIdentity
+from monsoonwall.entry.admin import make_admin_routes
+from monsoonwall.entry.configuring import ConfigurationTask
+from monsoonwall.entry.reporting import Reports
+from monsoonwall.entry.routes import RouteExplainer
+from monsoonwall.entry.state import HostState
+from monsoonwall.mesh.board import Board
+from monsoonwall.pipeline.stages import Admission
+from monsoonwall.platform.budgeted import BudgetedObjectStore, CallRates
+from monsoonwall.platform.http_objects import HttpObjectStore
+from monsoonwall.settings import EntrySettings
+
+# Waiting watches must not hold other calls to the platform back.
+_MAX_PLATFORM_CALLS = 1000
+
+
+class Operating:
+    """Own the calls to the platform, the configuration and the reports."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        state: HostState,
+        board: Board,
+        clock: Clock,
+        adopt: Callable[[Configuration], None],
+    ) -> None:
+        self._client = AsyncHTTPClient(
+            force_instance=True, max_clients=_MAX_PLATFORM_CALLS
+        )
+        self.store = BudgetedObjectStore(
+            HttpObjectStore(settings.platform_address, self._client, clock),
+            CallRates(
+                settings.platform_reads_per_second,
+                settings.platform_writes_per_second,
+            ),
+            clock,
+        )
+        identity = HostIdentity(
+            settings.host_name, settings.zone, bool(settings.peers)
+        )
+        self.configuring = ConfigurationTask(
+            identity, self.store, board, clock, adopt
+        )
+        self.reports = Reports()
+        self.reports.add_reporter('configuration', self.configuring.describe)
+        self.reports.add_explainer('route', RouteExplainer(state).explain)
+
+    def guard(self, following: Admission) -> Admission:
+        """Return the rule that refuses what an old configuration must not."""
+        return CurrencyAdmission(following, self.configuring.may_work)
+
+    def make_routes(self) -> list[Any]:
+        """Return the paths that operators' commands use."""
+        return make_admin_routes(self.configuring, self.reports)
+
+    def close(self) -> None:
+        """Close the connections to the platform."""
+        self._client.close()
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -49,6 +49,14 @@
 CONFIGURATION_NUMBER = Gauge(
     'monsoonwall_configuration_number', 'Number of the one in force.'
 )
+CONFIGURATION_OFFERS = Counter(
+    'monsoonwall_configuration_offers_total',
+    'Configurations offered to this host, by source and what became of them.',
+    ('source', 'verdict'),
+)
+PATCHES = Counter(
+    'monsoonwall_patches_total', 'Patches submitted here.', ('ending',)
+)
 RUNNING_REQUESTS = Gauge(
     'monsoonwall_running_requests', 'Requests accepted and not ended.'
 )
--- /dev/null
+++ b/src/monsoonwall/platform/budgeted.py
@@ -0,0 +1,98 @@
+"""Keep this host's calls to the platform within its budget."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from returns.result import Failure, Result
+
+from monsoonwall.clocks import Clock
+from monsoonwall.decisions.budget import CallBudget
+from monsoonwall.metrics import PLATFORM_CALLS
+from monsoonwall.platform.objects import (
+    CallReason,
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+)
+
+_BURST_SECONDS: Final = 2.0
+
+
+@dataclass(frozen=True)
+class CallRates:
+    """Hold how many calls a second this host may make."""
+
+    reads: float
+    writes: float
+
+
+class BudgetedObjectStore(ObjectStore):
+    """Pass on the calls that the budget allows, refuse others at once."""
+
+    def __init__(
+        self, store: ObjectStore, rates: CallRates, clock: Clock
+    ) -> None:
+        now = clock.read_monotonic()
+        self._store = store
+        self._clock = clock
+        self._reads = _make_budget(rates.reads, now)
+        self._writes = _make_budget(rates.writes, now)
+
+    async def read(
+        self, key: str, reason: CallReason
+    ) -> Result[StoredObject, StoreFailure]:
+        """Return the object under a key."""
+        if not self._take(self._reads, reason):
+            return Failure(StoreFailure.over_budget)
+        return await self._store.read(key, reason)
+
+    async def list_objects(
+        self, prefix: str, reason: CallReason
+    ) -> Result[tuple[StoredObject, ...], StoreFailure]:
+        """Return the objects whose keys begin with a prefix."""
+        if not self._take(self._reads, reason):
+            return Failure(StoreFailure.over_budget)
+        return await self._store.list_objects(prefix, reason)
+
+    async def create(
+        self, key: str, content: bytes, reason: CallReason
+    ) -> Result[StoredObject, StoreFailure]:
+        """Write a new object; a conflict if the key is taken."""
+        if not self._take(self._writes, reason):
+            return Failure(StoreFailure.over_budget)
+        return await self._store.create(key, content, reason)
+
+    async def update(
+        self, key: str, content: bytes, version: int, reason: CallReason
+    ) -> Result[StoredObject, StoreFailure]:
+        """Replace the object of the given version; else a conflict."""
+        if not self._take(self._writes, reason):
+            return Failure(StoreFailure.over_budget)
+        return await self._store.update(key, content, version, reason)
+
+    async def delete(
+        self, key: str, version: int, reason: CallReason
+    ) -> Result[StoredObject, StoreFailure]:
+        """Remove the object of the given version; else a conflict."""
+        if not self._take(self._writes, reason):
+            return Failure(StoreFailure.over_budget)
+        return await self._store.delete(key, version, reason)
+
+    async def watch(
+        self, key: str, after: int, deadline: float, reason: CallReason
+    ) -> Result[StoredObject, StoreFailure]:
+        """Wait until the object's version is above ``after``."""
+        if not self._take(self._reads, reason):
+            return Failure(StoreFailure.over_budget)
+        return await self._store.watch(key, after, deadline, reason)
+
+    def _take(self, budget: CallBudget, reason: CallReason) -> bool:
+        allowed = budget.take(reason, self._clock.read_monotonic())
+        if not allowed:
+            PLATFORM_CALLS.labels(reason, StoreFailure.over_budget).inc()
+        return allowed
+
+
+def _make_budget(rate: float, now: float) -> CallBudget:
+    # A slow rate still has to let single calls of every reason through.
+    return CallBudget(rate, max(10, rate * _BURST_SECONDS), now)
--- a/src/monsoonwall/platform/http_objects.py
+++ b/src/monsoonwall/platform/http_objects.py
@@ -104,7 +104,7 @@
             reason,
             request_timeout=remaining + _CALL_TIMEOUT_SECONDS,
         )
-        return answer.map(lambda response: _make_object(key, response))
+        return answer.bind(lambda response: _make_object(key, response))
 
     async def _write(
         self,
@@ -126,7 +126,7 @@
         self, key: str, reason: CallReason, **options: Any
     ) -> Result[StoredObject, StoreFailure]:
         answer = await self._fetch(f'/objects/{key}', reason, **options)
-        return answer.map(lambda response: _make_object(key, response))
+        return answer.bind(lambda response: _make_object(key, response))
 
     async def _fetch(
         self, path: str, reason: CallReason, **options: Any
@@ -147,17 +147,19 @@
         return Success(response)
 
 
-def _make_object(key: str, response: Any) -> StoredObject:
-    version = int(response.headers[_VERSION_HEADER])
-    return StoredObject(key, version, response.body)
+def _make_object(key: str, response: Any) -> Result[StoredObject, StoreFailure]:
+    version = response.headers.get(_VERSION_HEADER, '')
+    if not version.isdecimal():
+        return Failure(StoreFailure.lost)
+    return Success(StoredObject(key, int(version), response.body))
 
 
 def _classify_error(error: Exception) -> StoreFailure:
     if isinstance(error, ConnectionRefusedError):
         return StoreFailure.unavailable
     if isinstance(error, HTTPTimeoutError):
-        connecting = 'connect' in str(error)
-        return StoreFailure.unavailable if connecting else StoreFailure.lost
+        unsent = any(word in str(error) for word in ('connect', 'queue'))
+        return StoreFailure.unavailable if unsent else StoreFailure.lost
     if not isinstance(error, HTTPError) or error.response is None:
         return StoreFailure.lost
     return _FAILURES.get(error.code, StoreFailure.lost)
--- a/src/monsoonwall/settings.py
+++ b/src/monsoonwall/settings.py
@@ -24,9 +24,12 @@
 from monsoonwall.findings import Finding
 
 ENVIRONMENT_PREFIX: Final = 'MONSOONWALL_'
+_PROGRAM: Final = 'monsoonwall'
 _MAX_PORT: Final = 65_535
 _DRAIN_SECONDS: Final = 20
 _MAX_BODY_BYTES: Final = 1_000_000
+_PLATFORM_READS: Final = 100
+_PLATFORM_WRITES: Final = 40
 
 
 @dataclass(frozen=True)
@@ -43,6 +46,8 @@
     log_json: bool
     drain_seconds: float
     max_body_bytes: int
+    platform_reads_per_second: float
+    platform_writes_per_second: float
 
 
 @dataclass(frozen=True)
@@ -56,54 +61,9 @@
 
 def define_entry_flags(values: FlagValues) -> None:
     """Define the flags of an entry host."""
-    DEFINE_string(
-        'host_name', '', 'Name of this entry host.', flag_values=values
-    )
-    DEFINE_string(
-        'zone', '', 'Availability zone of this host.', flag_values=values
-    )
-    DEFINE_string('region', 'local', 'Region of this host.', flag_values=values)
-    DEFINE_string(
-        'listen_address',
-        '127.0.0.1:8080',
-        'Address for callers and operators, as host:port.',
-        flag_values=values,
-    )
-    DEFINE_string(
-        'mesh_address',
-        '127.0.0.1:8081',
-        'Address for the other entry hosts, as host:port.',
-        flag_values=values,
-    )
-    DEFINE_string(
-        'platform_address',
-        '',
-        'Address of the platform, as host:port.',
-        flag_values=values,
-    )
-    DEFINE_list(
-        'peers',
-        [],
-        'Mesh addresses of some other entry hosts.',
-        flag_values=values,
-    )
-    DEFINE_bool(
-        'log_json', False, 'Write logs as JSON lines.', flag_values=values
-    )
-    DEFINE_float(
-        'drain_seconds',
-        _DRAIN_SECONDS,
-        'Time that a graceful shutdown gives running requests.',
-        flag_values=values,
-        lower_bound=0,
-    )
-    DEFINE_integer(
-        'max_body_bytes',
-        _MAX_BODY_BYTES,
-        'Largest request body taken, in bytes.',
-        flag_values=values,
-        lower_bound=1,
-    )
+    _define_identity(values)
+    _define_addresses(values)
+    _define_limits(values)
 
 
 def define_operator_flags(values: FlagValues) -> None:
@@ -136,14 +96,25 @@
     define(values)
     findings = _apply_environment(values, environment)
     try:
-        rest = values(('monsoonwall', *arguments))
+        rest = values((_PROGRAM, *arguments))
     except Error as error:
-        return Failure((*findings, Finding('flags', str(error))))
+        faults = _check_singly(define, arguments)
+        findings.extend(faults or [Finding('flags', str(error))])
     if findings:
         return Failure(tuple(findings))
     return Success((values, tuple(rest[1:])))
 
 
+def describe_flags(define: Callable[[FlagValues], None]) -> str:
+    """Return one line of help for each flag."""
+    values = FlagValues()
+    define(values)
+    return '\n'.join(
+        f'  --{name}={values[name].value!r}\n      {values[name].help}'
+        for name in sorted(values)
+    )
+
+
 def check_entry_settings(
     values: FlagValues,
 ) -> Result[EntrySettings, tuple[Finding, ...]]:
@@ -171,6 +142,10 @@
             log_json=values['log_json'].value,
             drain_seconds=values['drain_seconds'].value,
             max_body_bytes=values['max_body_bytes'].value,
+            platform_reads_per_second=values['platform_reads_per_second'].value,
+            platform_writes_per_second=values[
+                'platform_writes_per_second'
+            ].value,
         )
     )
 
@@ -208,6 +183,94 @@
     return host, int(port)
 
 
+def _define_identity(values: FlagValues) -> None:
+    DEFINE_string(
+        'host_name', '', 'Name of this entry host.', flag_values=values
+    )
+    DEFINE_string(
+        'zone', '', 'Availability zone of this host.', flag_values=values
+    )
+    DEFINE_string('region', 'local', 'Region of this host.', flag_values=values)
+    DEFINE_bool(
+        'log_json', False, 'Write logs as JSON lines.', flag_values=values
+    )
+
+
+def _define_addresses(values: FlagValues) -> None:
+    DEFINE_string(
+        'listen_address',
+        '127.0.0.1:8080',
+        'Address for callers and operators, as host:port.',
+        flag_values=values,
+    )
+    DEFINE_string(
+        'mesh_address',
+        '127.0.0.1:8081',
+        'Address for the other entry hosts, as host:port.',
+        flag_values=values,
+    )
+    DEFINE_string(
+        'platform_address',
+        '',
+        'Address of the platform, as host:port.',
+        flag_values=values,
+    )
+    DEFINE_list(
+        'peers',
+        [],
+        'Mesh addresses of some other entry hosts.',
+        flag_values=values,
+    )
+
+
+def _define_limits(values: FlagValues) -> None:
+    DEFINE_float(
+        'drain_seconds',
+        _DRAIN_SECONDS,
+        'Time that a graceful shutdown gives running requests.',
+        flag_values=values,
+        lower_bound=0,
+    )
+    DEFINE_integer(
+        'max_body_bytes',
+        _MAX_BODY_BYTES,
+        'Largest request body taken, in bytes.',
+        flag_values=values,
+        lower_bound=1,
+    )
+    DEFINE_float(
+        'platform_reads_per_second',
+        _PLATFORM_READS,
+        'Reads and watches of the platform that this host may make.',
+        flag_values=values,
+        lower_bound=0.1,
+    )
+    DEFINE_float(
+        'platform_writes_per_second',
+        _PLATFORM_WRITES,
+        'Writes to the platform that this host may make.',
+        flag_values=values,
+        lower_bound=0.1,
+    )
+
+
+def _check_singly(
+    define: Callable[[FlagValues], None], arguments: Sequence[str]
+) -> list[Finding]:
+    """Return the fault of each argument, where the parser names the first."""
+    findings = []
+    for argument in arguments:
+        values = FlagValues()
+        define(values)
+        if not argument.startswith('-'):
+            continue
+        try:
+            values((_PROGRAM, argument))
+        except Error as error:
+            findings.append(Finding(argument.partition('=')[0], str(error)))
+    return findings
+
+
 def _apply_environment(
     values: FlagValues, environment: Mapping[str, str]
 ) -> list[Finding]:
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -137,7 +137,7 @@
             self.ports['platform'],
             'PUT',
             '/objects/configuration/current',
-            document,
+            {'number': 1, **document},
         )
 
     def signal(self, name, number):
