--- a/src/monsoonwall/decisions/currency.py
+++ b/src/monsoonwall/decisions/currency.py
@@ -55,10 +55,12 @@
 
 
 def adopt_number(currency: Currency, number: int) -> Currency:
-    """Return the currency of a newly adopted, unconfirmed number."""
-    if number <= currency.number:
-        return currency
-    return replace(currency, number=number, confirmed_wall=0)
+    """Return the currency of a newly adopted number.
+
+    What confirmed an earlier number holds for this one as well: numbers
+    above it were accepted later still.
+    """
+    return replace(currency, number=max(currency.number, number))
 
 
 def hear_number(currency: Currency, number: int) -> Currency:
@@ -71,10 +73,10 @@
 ) -> Currency:
     """Return the currency after a confirmation of some number.
 
-    One of another number says nothing of the held one. A time further
-    ahead than clocks may differ is worth no more than now.
+    One of a higher number says nothing of the held one. A time further
+    ahead than clocks may differ is worth no more than that.
     """
-    if number != currency.number or not number:
+    if not 0 < number <= currency.number:
         return currency
     latest = now_wall + CLOCK_SKEW_SECONDS
     believed = min(confirmed_wall, latest)
@@ -91,7 +93,7 @@
 def settle_time(accepted_wall: float) -> float:
     """Return from when no host does guarded work under earlier numbers.
 
-    Hosts count from a confirmation that the acceptance ended, so the
-    deadline of each lies before this time on the acceptor's clock too.
+    A host's last confirmation of an earlier number began before the
+    acceptance, and its deadline allows for the difference of the clocks.
     """
-    return accepted_wall + CURRENCY_SECONDS + CLOCK_SKEW_SECONDS
+    return accepted_wall + CURRENCY_SECONDS
--- /dev/null
+++ b/tests/configuration/test_adoption.py
@@ -0,0 +1,194 @@
+"""Fuzz which configurations a host adopts, against the true history."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from monsoonwall.configuration import announcement
+from monsoonwall.configuration.announcement import (
+    Announcement,
+    derive_stored,
+    encode_announcement,
+)
+from monsoonwall.configuration.keeper import ConfigurationKeeper
+from monsoonwall.configuration.stored import encode_stored
+from monsoonwall.decisions.adoption import (
+    PEER_WAIT_SECONDS,
+    StartView,
+    ZoneHost,
+    choose_watchers,
+    may_begin,
+)
+from tests.configuration.strategies import (
+    EMPTY,
+    follow,
+    make_workspace_patch,
+    names,
+    weights,
+)
+
+HOSTS = 3
+hosts = st.integers(0, HOSTS - 1)
+garbage = st.sampled_from(
+    (b'', b'{', b'[]', b'{"number": 99}x', b'{"number": true}', b'\x78\x9c\x01')
+)
+
+
+class AdoptionMachine(RuleBasedStateMachine):
+    """Offer hosts old, new, damaged and unchecked configurations.
+
+    The oracle is the history: a host holds one of its documents, whole, and
+    never one before what it held.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.history = [follow(EMPTY, make_workspace_patch('hotline', 1))]
+        self.keepers = [ConfigurationKeeper() for _ in range(HOSTS)]
+        self.floors = [0 for _ in range(HOSTS)]
+
+    @rule(name=names, weight=weights)
+    def accept_patch(self, name, weight):
+        patch = make_workspace_patch(name, weight)
+        self.history.append(follow(self.history[-1], patch))
+
+    @rule(host=hosts, age=st.integers(0, 5))
+    def read_platform(self, host, age):
+        offered = self.history[max(0, len(self.history) - 1 - age)]
+        self.keepers[host].take_object(encode_stored(offered))
+
+    @rule(host=hosts, age=st.integers(0, 5))
+    def hear_mesh(self, host, age):
+        offered = self.history[max(0, len(self.history) - 1 - age)]
+        intake = self.keepers[host].take_announcement(
+            encode_announcement(offered)
+        )
+        if intake is None:
+            # What cannot be derived is read whole, as the naive way is.
+            self.keepers[host].take_object(encode_stored(offered))
+        held = self.keepers[host].held.number
+        assert held >= offered.number, 'a mesh offer was not followed'
+
+    @rule(host=hosts, content=garbage)
+    def read_garbage(self, host, content):
+        assert not self.keepers[host].take_object(content).adopted
+        assert self.keepers[host].problems
+
+    @rule(host=hosts, content=garbage)
+    def hear_garbage(self, host, content):
+        self.keepers[host].take_announcement(content)
+
+    @rule(host=hosts)
+    def read_unchecked(self, host):
+        last = self.history[-1]
+        unchecked = follow(last, {'workspaces': {'market': {'weight': -1}}})
+        intake = self.keepers[host].take_object(encode_stored(unchecked))
+        assert not intake.adopted
+        assert intake.superseded or self.floors[host] > last.number
+
+    @rule(host=hosts, name=names, weight=weights)
+    def read_contradiction(self, host, name, weight):
+        held = self.keepers[host].read_held()
+        if held is None:
+            return
+        other = follow(EMPTY, make_workspace_patch(name, weight + 10))
+        forged = encode_stored(
+            type(held)(held.number, other.document, held.recent)
+        )
+        assert not self.keepers[host].take_object(forged).adopted
+
+    @rule(host=hosts)
+    def restart(self, host):
+        self.keepers[host] = ConfigurationKeeper()
+        self.floors[host] = 0
+
+    @invariant()
+    def holds_history(self):
+        for host, keeper in enumerate(self.keepers):
+            held = keeper.held.number
+            assert held >= self.floors[host], 'a host went back'
+            self.floors[host] = held
+            if held:
+                truth = self.history[held - 1].document
+                assert keeper.read_held().document == truth
+                assert keeper.configuration.number == held
+
+
+class AdoptionTest(unittest.TestCase):
+    """Run the machine with whole and with derived announcements."""
+
+    def run_machine(self):
+        run_state_machine_as_test(
+            AdoptionMachine,
+            settings=settings(max_examples=60, stateful_step_count=30),
+        )
+
+    def test_whole_announcements(self):
+        self.run_machine()
+
+    def test_derived_announcements(self):
+        limit = announcement.MAX_WHOLE_BYTES
+        self.addCleanup(setattr, announcement, 'MAX_WHOLE_BYTES', limit)
+        announcement.MAX_WHOLE_BYTES = 0
+        self.run_machine()
+
+
+class DerivationTest(unittest.TestCase):
+    """Derive documents from patches, checked by digest."""
+
+    def test_other_document_of_the_number_must_be_read(self):
+        announced = follow(
+            follow(EMPTY, make_workspace_patch('hotline', 1)),
+            make_workspace_patch('depot', 1),
+        )
+        held = follow(EMPTY, make_workspace_patch('market', 1))
+        told = Announcement(announced.number, None, announced.recent)
+        self.assertIsNone(derive_stored(told, held))
+        self.assertIsNone(derive_stored(told, None))
+
+
+class StartTest(unittest.TestCase):
+    """State when a restarted host may serve."""
+
+    def make_view(self, held=3, answered=True, has_peers=True, peers=()):
+        return StartView(held, answered, has_peers, peers, started=10)
+
+    def test_waits_for_the_highest_number_told(self):
+        view = self.make_view(peers=(4, 3))
+        self.assertFalse(may_begin(view, now=1000))
+
+    def test_waits_for_peers_a_while(self):
+        view = self.make_view()
+        self.assertFalse(may_begin(view, 10))
+        self.assertTrue(may_begin(view, 10 + PEER_WAIT_SECONDS))
+
+    def test_peers_suffice_in_an_outage(self):
+        view = self.make_view(answered=False, peers=(3, 0))
+        self.assertTrue(may_begin(view, 10))
+
+    def test_nothing_known_serves_nothing(self):
+        self.assertFalse(may_begin(self.make_view(held=0), 1000))
+        alone = self.make_view(answered=False)
+        self.assertFalse(may_begin(alone, 1000))
+
+
+class WatchersTest(unittest.TestCase):
+    """Choose the watchers of a zone."""
+
+    def test_two_in_each_zone(self):
+        known = [
+            ZoneHost(f'entry-{index}', f'zone-{index % 3}')
+            for index in range(9)
+        ]
+        chosen = choose_watchers(known, 'zone-1')
+        self.assertEqual(len(chosen), 2)
+        self.assertEqual(chosen, choose_watchers(reversed(known), 'zone-1'))
+        survivors = [host for host in known if host.name not in chosen]
+        self.assertEqual(len(choose_watchers(survivors, 'zone-1')), 1)
--- /dev/null
+++ b/tests/configuration/test_currency.py
@@ -0,0 +1,109 @@
+"""Fuzz what hosts do under configurations that may be old."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from monsoonwall.decisions.currency import (
+    CLOCK_SKEW_SECONDS,
+    Currency,
+    Work,
+    adopt_number,
+    confirm_number,
+    hear_number,
+    may_work,
+    settle_time,
+)
+
+HOSTS = 3
+hosts = st.integers(0, HOSTS - 1)
+pauses = st.sampled_from((0.3, 2, 6.8))
+
+
+class CurrencyMachine(RuleBasedStateMachine):
+    """Let hosts read, tell, freeze and be cut off while patches come.
+
+    The oracle knows the true time and when each number was accepted: once
+    an acceptance has settled, no host does guarded work under an earlier
+    number.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1000.0
+        self.settled = [0, 0]
+        self.currencies = [Currency(1) for _ in range(HOSTS)]
+        # Half the skew either way keeps any two clocks within all of it.
+        self.skews = [-CLOCK_SKEW_SECONDS / 2, 0, CLOCK_SKEW_SECONDS / 2]
+        self.notes = []
+
+    def read_clock(self, host):
+        return self.now + self.skews[host]
+
+    @rule(seconds=pauses)
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule(host=hosts)
+    def accept_patch(self, host):
+        # The acceptor states from when on earlier numbers are out of use.
+        stated = settle_time(self.read_clock(host)) - self.skews[host]
+        self.settled.append(stated)
+
+    @rule(host=hosts, seconds=st.sampled_from((0, 0, 2)))
+    def read(self, host, seconds):
+        """Read what is newest now; the answer comes later."""
+        newest = len(self.settled) - 1
+        begun = self.read_clock(host)
+        self.now += seconds
+        currency = adopt_number(self.currencies[host], newest)
+        self.currencies[host] = confirm_number(
+            currency, newest, begun, self.read_clock(host)
+        )
+        self.notes.append(self.currencies[host])
+
+    @rule(host=hosts, late=st.booleans())
+    def hear(self, host, late):
+        if not self.notes:
+            return
+        told = self.notes[0 if late else -1]
+        currency = hear_number(self.currencies[host], told.number)
+        self.currencies[host] = confirm_number(
+            currency, told.number, told.confirmed_wall, self.read_clock(host)
+        )
+
+    @rule(host=hosts)
+    def restart(self, host):
+        self.currencies[host] = Currency()
+
+    @invariant()
+    def guards_settled_numbers(self):
+        for host, currency in enumerate(self.currencies):
+            works = may_work(currency, Work.order, self.read_clock(host))
+            following = self.settled[currency.number + 1 :]
+            if works and following:
+                assert self.now < min(following), 'worked under an old number'
+            assert may_work(currency, Work.idempotent_call, self.now)
+
+
+class CurrencyTest(unittest.TestCase):
+    """Run the machine, and state the bound."""
+
+    def test_machine(self):
+        run_state_machine_as_test(
+            CurrencyMachine,
+            settings=settings(max_examples=300, stateful_step_count=20),
+        )
+
+    def test_confirmed_host_works_between_watches(self):
+        currency = confirm_number(adopt_number(Currency(), 1), 1, 100, 100)
+        self.assertTrue(may_work(currency, Work.move_step, 105))
+        self.assertFalse(may_work(currency, Work.move_step, 107))
+        self.assertFalse(may_work(hear_number(currency, 2), Work.order, 101))
