Refuse large bodies with a code and deep JSON without a trace

Cause: a body above the limit closed the connection while its caller still sent, so the caller saw a reset and no error; JSON nested 100,000 deep ended in a RecursionError with a stack trace and code internal_error.

Seen failing before: tests.entry.test_bad_input, test_large_bodies (ConnectionResetError) and test_malformed_bodies (500 for 400, Traceback in the log).

Not mended: a body sent in chunks that grows too large, and bytes that are no HTTP, still get tornado's bare 400.

--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from typing import Final
 
 from tornado.httpserver import HTTPServer
 
@@ -27,6 +28,10 @@
 from monsoonwall.pipeline.dispatch import Dispatcher, Stages
 from monsoonwall.settings import EntrySettings, split_address
 
+# How long a connection may be idle, and how long a body may take to arrive.
+_IDLE_SECONDS: Final = 75
+_BODY_SECONDS: Final = 30
+
 _log = make_logger('host')
 
 
@@ -82,8 +87,11 @@
                 [
                     *make_routes(self._state, self._tasks),
                     *self._operating.make_routes(),
-                ]
+                ],
+                self._settings.max_body_bytes,
             ),
+            idle_connection_timeout=_IDLE_SECONDS,
+            body_timeout=_BODY_SECONDS,
             max_body_size=self._settings.max_body_bytes,
         )
         host, port = split_address(self._settings.listen_address)
--- a/src/monsoonwall/entry/web.py
+++ b/src/monsoonwall/entry/web.py
@@ -7,8 +7,9 @@
 from prometheus_client import generate_latest
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 from returns.pipeline import is_successful
+from tornado.httputil import HTTPMessageDelegate, HTTPServerRequest
 from tornado.iostream import StreamClosedError
-from tornado.web import Application, RequestHandler
+from tornado.web import Application, RequestHandler, stream_request_body
 
 from monsoonwall.entry.requests import RequestTasks, count_refusal
 from monsoonwall.entry.responses import (
@@ -29,6 +30,10 @@
 
 _JSON: Final = 'application/json'
 _SERVER_FAULT: Final = 500
+_BODY_LIMIT: Final = 'max_body_bytes'
+_MAX_BODY_BYTES: Final = 1_000_000
+_DROPPED_BYTES: Final = 64_000_000
+_LENGTH_DIGITS: Final = 15
 
 
 class JsonHandler(RequestHandler):
@@ -49,12 +54,15 @@
 
     def write_error(self, status_code: int, **_kwargs: Any) -> None:
         """Answer what tornado itself refuses in the same form."""
-        reason = (
-            RefusalReason.internal
-            if status_code >= _SERVER_FAULT
-            else RefusalReason.bad_request
+        defect = status_code >= _SERVER_FAULT
+        # Nobody can say how far a request came that a defect ended.
+        refusal = (
+            Refusal(RefusalReason.internal, Effect.unknown, self._reason)
+            if defect
+            else Refusal(
+                RefusalReason.bad_request, Effect.not_run, self._reason
+            )
         )
-        refusal = Refusal(reason, Effect.not_run, self._reason)
         count_refusal(refusal)
         self.write_json(describe_refusal(refusal, ''))
 
@@ -200,6 +208,55 @@
         self.finish(generate_latest())
 
 
+@stream_request_body
+class TooLargeHandler(JsonHandler):
+    """Refuse a body that is too large without keeping it.
+
+    The body is read and dropped, up to a limit: a caller that still sends
+    when its connection closes would not get to read the refusal.
+    """
+
+    def prepare(self) -> None:
+        """Refuse what is too large even to be dropped."""
+        if _read_length(self.request) > _DROPPED_BYTES:
+            self._refuse_body()
+        else:
+            self.request.connection.set_max_body_size(_DROPPED_BYTES)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Drop a part of the body."""
+
+    def _refuse_body(self, *_parts: str) -> None:
+        limit = self.settings[_BODY_LIMIT]
+        self.refuse(
+            Refusal(
+                RefusalReason.body_too_large,
+                Effect.not_run,
+                f'send at most {limit} bytes',
+            )
+        )
+
+    get = _refuse_body
+    head = _refuse_body
+    post = _refuse_body
+    put = _refuse_body
+    patch = _refuse_body
+    delete = _refuse_body
+    options = _refuse_body
+
+
+class EntryApplication(Application):
+    """Find the handler of a request once its head has arrived."""
+
+    def find_handler(
+        self, request: HTTPServerRequest, **options: Any
+    ) -> HTTPMessageDelegate:
+        """Return what answers the request."""
+        if _read_length(request) > self.settings[_BODY_LIMIT]:
+            return self.get_handler_delegate(request, TooLargeHandler)
+        return super().find_handler(request, **options)
+
+
 class UnknownHandler(JsonHandler):
     """Refuse paths that lead nowhere."""
 
@@ -214,6 +271,12 @@
         )
 
 
+def _read_length(request: HTTPServerRequest) -> int:
+    # Python refuses to read numbers of thousands of digits.
+    length = request.headers.get('Content-Length', '')[:_LENGTH_DIGITS]
+    return int(length) if length.isdecimal() else 0
+
+
 def make_routes(state: HostState, tasks: RequestTasks) -> list[Any]:
     """Return the paths that callers use."""
     return [
@@ -235,10 +298,13 @@
     ]
 
 
-def make_application(routes: list[Any]) -> Application:
+def make_application(
+    routes: list[Any], max_body_bytes: int = _MAX_BODY_BYTES
+) -> Application:
     """Return the web application of an entry host."""
-    return Application(
+    return EntryApplication(
         routes,
         default_handler_class=UnknownHandler,
         log_function=lambda _handler: None,
+        max_body_bytes=max_body_bytes,
     )
--- a/src/monsoonwall/pipeline/acceptance.py
+++ b/src/monsoonwall/pipeline/acceptance.py
@@ -79,7 +79,7 @@
         """Return the call of a completion, or why there is none."""
         try:
             completion = json.decode(request.body, type=_Completion)
-        except (DecodeError, ValidationError) as error:
+        except (DecodeError, ValidationError, RecursionError) as error:
             return Failure(_refuse(RefusalReason.bad_request, str(error)))
         workspace = self._find_workspace(request)
         if workspace is None:
--- /dev/null
+++ b/tests/entry/test_bad_input.py
@@ -0,0 +1,159 @@
+"""Send an entry host what no caller should, and look what it does."""
+
+import os
+import socket
+import tempfile
+import unittest
+from pathlib import Path
+
+from msgspec import json
+
+from tests.standins.deployment import (
+    API_KEY,
+    Deployment,
+    send,
+    start_small,
+    wait_until,
+)
+
+BIG = 1_000_001
+HUGE = 20_000_000
+COMPLETIONS = '/v1/completions'
+GOOD = {'model': 'hotline', 'prompt': 'hi', 'max_tokens': 3}
+DEEP = b'{"a":' + b'[' * 100_000
+
+
+class BadInputTest(unittest.TestCase):
+    """Expect a stable code, no stack trace, and others served as before."""
+
+    @classmethod
+    def setUpClass(cls):
+        folder = cls.enterClassContext(tempfile.TemporaryDirectory())
+        cls.log = Path(folder, 'log')
+        os.environ['MONSOONWALL_TEST_LOG'] = str(cls.log)
+        cls.addClassCleanup(os.environ.pop, 'MONSOONWALL_TEST_LOG')
+        cls.deployment = cls.enterClassContext(Deployment())
+        start_small(cls.deployment, engines=1, ledgers=1, entries=1)
+        cls.port = cls.deployment.ports['entry-0']
+
+    def setUp(self):
+        self.logged = len(self.log.read_bytes())
+
+    def tearDown(self):
+        reply = send(self.port, 'POST', COMPLETIONS, GOOD)
+        self.assertEqual(reply.status, 200, reply)
+        log = self.log.read_bytes()[self.logged :]
+        self.assertNotIn(b'Traceback', log)
+
+    def exchange(self, content):
+        """Send raw bytes and return all that comes back."""
+        with socket.create_connection(('127.0.0.1', self.port), 10) as caller:
+            caller.sendall(content)
+            caller.shutdown(socket.SHUT_WR)
+            received = b''
+            while chunk := caller.recv(65536):
+                received += chunk
+        return received
+
+    def post_raw(self, path, body, method='POST'):
+        """Send a body as it is and return status and error code."""
+        with socket.create_connection(('127.0.0.1', self.port), 10) as caller:
+            head = (
+                f'{method} {path} HTTP/1.1\r\nHost: here\r\n'
+                f'Authorization: Bearer {API_KEY}\r\n'
+                f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
+            )
+            caller.sendall(head.encode() + body)
+            received = b''
+            while chunk := caller.recv(65536):
+                received += chunk
+        head, _, content = received.partition(b'\r\n\r\n')
+        error = json.decode(content)['error']
+        self.assertIn(error['effect'], {'not_run', 'unknown'})
+        return int(head.split()[1]), error['code']
+
+    def test_malformed_bodies(self):
+        for body in (
+            b'',
+            b'{',
+            b'[]',
+            b'\xff\xfe',
+            b'{"model": "\xff"}',
+            b'{"model": 3}',
+            b'{"model": "hotline", "prompt": "hi", "max_tokens": 1e400}',
+            b'{"model": "hotline", "prompt": "hi", "max_tokens": 0}',
+            DEEP,
+        ):
+            with self.subTest(body=body[:40]):
+                found = self.post_raw(COMPLETIONS, body)
+                self.assertEqual(found, (400, 'bad_request'))
+
+    def test_malformed_patches(self):
+        for body in (
+            b'',
+            b'{"base": 1}',
+            b'{"base": "1", "patch_id": "x", "patch": []}',
+            DEEP,
+        ):
+            with self.subTest(body=body[:40]):
+                found = self.post_raw('/admin/patch', body)
+                self.assertEqual(found, (400, 'bad_request'))
+
+    def test_unknown_places(self):
+        for method, path, expected in (
+            ('GET', '/nowhere', (404, 'unknown_route')),
+            ('GET', '/v1/requests/nobody', (404, 'unknown_request')),
+            ('GET', COMPLETIONS, (405, 'bad_request')),
+            ('BREW', '/health', (405, 'bad_request')),
+            ('GET', '/admin/explain?route=%ff', (400, 'bad_request')),
+        ):
+            with self.subTest(path=path, method=method):
+                found = self.post_raw(path, b'', method)
+                self.assertEqual(found, expected)
+
+    def test_large_bodies(self):
+        for size in (BIG, HUGE):
+            with self.subTest(size=size):
+                found = self.post_raw(COMPLETIONS, b' ' * size)
+                self.assertEqual(found, (413, 'body_too_large'))
+
+    def test_broken_requests(self):
+        for content in (
+            b'\x16\x03\x01 no http',
+            b'GET / HTTP/9.9\r\n\r\n',
+            b'POST /v1/completions HTTP/1.1\r\nContent-Length: x\r\n\r\n',
+            b'POST /v1/completions HTTP/1.1\r\nContent-Length: 9\r\n\r\n{',
+            b'POST /v1/completions HTTP/1.1\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\nzz\r\n',
+        ):
+            with self.subTest(content=content):
+                self.assertNotIn(b' 200 ', self.exchange(content))
+
+    def test_caller_leaves_its_stream(self):
+        body = json.encode({**GOOD, 'max_tokens': 2000, 'stream': True})
+        head = (
+            f'POST {COMPLETIONS} HTTP/1.1\r\nHost: here\r\n'
+            f'Authorization: Bearer {API_KEY}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        with socket.create_connection(('127.0.0.1', self.port), 10) as caller:
+            caller.sendall(head.encode() + body)
+            self.assertTrue(caller.recv(1))
+        metrics = send(self.port, 'GET', '/metrics')
+        self.assertEqual(metrics.status, 200)
+
+    def test_slow_reader_holds_nobody_up(self):
+        body = json.encode({**GOOD, 'max_tokens': 20_000, 'stream': True})
+        head = (
+            f'POST {COMPLETIONS} HTTP/1.1\r\nHost: here\r\n'
+            f'Authorization: Bearer {API_KEY}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        with socket.create_connection(('127.0.0.1', self.port), 10) as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.sendall(head.encode() + body)
+            self.assertTrue(caller.recv(1))
+            served = wait_until(
+                lambda: send(self.port, 'POST', COMPLETIONS, GOOD).status == 200
+            )
+            self.assertTrue(served)
