--- a/src/monsoonwall/commands/patch.py
+++ b/src/monsoonwall/commands/patch.py
@@ -149,7 +149,7 @@
 
 def _list_hosts(answer: HostAnswer) -> dict[str, int]:
     hosts = answer.content.get('configuration', {}).get('hosts', [])
-    return {told['host']: told['note']['number'] for told in hosts}
+    return {told['host']: told['note']['lowest'] for told in hosts}
 
 
 def _print_outcome(outcome: dict[str, Any], patch_id: str) -> None:
--- a/src/monsoonwall/commands/status.py
+++ b/src/monsoonwall/commands/status.py
@@ -58,7 +58,7 @@
     by_zone: dict[str, list[str]] = {}
     for told in content['hosts']:
         note = told['note']
-        line = f'    {told["host"]}: number {note["number"]} {note["problem"]}'
+        line = f'    {told["host"]}: number {note["lowest"]} {note["problem"]}'
         by_zone.setdefault(note['zone'], []).append(line.rstrip())
     for zone in sorted(by_zone):
         print_lines(f'  zone {zone}:', *sorted(by_zone[zone]))
--- a/src/monsoonwall/configuration/enforcement.py
+++ b/src/monsoonwall/configuration/enforcement.py
@@ -101,11 +101,13 @@
         """Return what to tell the other hosts."""
         problems = self.keeper.problems
         watching = self._neighbours.watching
+        number = self.keeper.held.number if self.serving else 0
         return HostNote(
             self._zone,
-            self.keeper.held.number if self.serving else 0,
+            number,
             self.currency.confirmed_wall if watching else 0,
             str(problems[0]) if problems else '',
+            number,
         )
 
     def _may_begin(self) -> bool:
--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -9,12 +9,12 @@
 from monsoonwall.backends.pool import BackendPool
 from monsoonwall.clocks import Clock
 from monsoonwall.configuration.model import Configuration
+from monsoonwall.entry.meshing import Mesh
 from monsoonwall.entry.operating import Operating
 from monsoonwall.entry.requests import RequestTasks
 from monsoonwall.entry.state import HostState, Serving
 from monsoonwall.entry.web import make_application, make_routes
 from monsoonwall.logs import make_logger
-from monsoonwall.mesh.board import LocalBoard
 from monsoonwall.metrics import CONFIGURATION_NUMBER
 from monsoonwall.pipeline.acceptance import Acceptance
 from monsoonwall.pipeline.baseline import (
@@ -45,9 +45,9 @@
         self._pool = BackendPool(clock)
         self._tasks = RequestTasks(self._state, clock)
         self._stopping = asyncio.Event()
-        self._board = LocalBoard(settings.host_name)
+        self._mesh = Mesh(settings, clock)
         self._operating = Operating(
-            settings, self._state, self._board, clock, self.adopt
+            settings, self._state, self._mesh.board, clock, self.adopt
         )
 
     async def run(self) -> None:
@@ -55,6 +55,7 @@
         loop = asyncio.get_running_loop()
         for asked in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(asked, self._stopping.set)
+        await self._mesh.start()
         server = self._listen()
         configuring = asyncio.create_task(self._operating.configuring.run())
         _log.info('Entry host started.', address=self._settings.listen_address)
@@ -101,10 +102,12 @@
     async def _shut_down(self, server: HTTPServer) -> None:
         _log.info('Shutdown begun.')
         self._state.leaving = True
+        await self._mesh.announce_leaving()
         drain_deadline = (
             self._clock.read_monotonic() + self._settings.drain_seconds
         )
         left = await self._tasks.drain(drain_deadline)
+        await self._mesh.stop()
         server.stop()
         await server.close_all_connections()
         self._operating.close()
