--- a/src/monsoonwall/commands/check.py
+++ b/src/monsoonwall/commands/check.py
@@ -1,10 +1,12 @@
 """Check a configuration file without any host."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from absl.flags import DEFINE_bool, DEFINE_string, FlagValues
 from returns.pipeline import is_successful
+from returns.result import Result
 
 from monsoonwall.commands.client import (
     ExitStatus,
@@ -14,8 +16,8 @@
 )
 from monsoonwall.commands.files import read_json_file
 from monsoonwall.configuration.document import check_document
-from monsoonwall.findings import format_findings
-from monsoonwall.settings import parse_flags
+from monsoonwall.findings import Finding, format_findings
+from monsoonwall.settings import read_settings
 
 
 def define_check_flags(values: FlagValues) -> None:
@@ -33,18 +35,17 @@
 
 def run_check(arguments: Sequence[str]) -> int:
     """Print every finding and return the exit status."""
-    parsed = parse_flags(define_check_flags, arguments)
-    read = parsed.bind(lambda found: read_json_file(found[0]['file'].value))
+    read = read_settings(define_check_flags, _read_file, arguments)
     if not is_successful(read):
         print_error(format_findings(read.failure()))
         return ExitStatus.usage
-    document = read.unwrap()
+    document = read.unwrap().document
     if isinstance(document, dict):
         # What a host shows of its configuration can be checked as it is.
         document.pop('number', None)
     checked = check_document(document, 1)
     findings = () if is_successful(checked) else checked.failure()
-    if parsed.unwrap()[0]['json_output'].value:
+    if read.unwrap().json_output:
         print_json({'findings': findings})
     elif findings:
         print_lines(format_findings(findings))
@@ -53,6 +54,19 @@
     return ExitStatus.refused if findings else ExitStatus.done
 
 
+@dataclass(frozen=True)
+class _Reading:
+    document: Any
+    json_output: bool
+
+
+def _read_file(values: FlagValues) -> Result[_Reading, tuple[Finding, ...]]:
+    json_output = values['json_output'].value
+    return read_json_file(values['file'].value).map(
+        lambda document: _Reading(document, json_output)
+    )
+
+
 def _count_entries(document: dict[str, Any]) -> str:
     return ', '.join(
         f'{len(entries)} {section}' for section, entries in document.items()
--- a/src/monsoonwall/commands/entry.py
+++ b/src/monsoonwall/commands/entry.py
@@ -14,7 +14,7 @@
     EntrySettings,
     check_entry_settings,
     define_entry_flags,
-    parse_flags,
+    read_settings,
 )
 
 USAGE_STATUS = 2
@@ -22,8 +22,7 @@
 
 def run_entry(arguments: Sequence[str]) -> int:
     """Serve until asked to stop; return the exit status."""
-    parsed = parse_flags(define_entry_flags, arguments)
-    checked = parsed.bind(lambda found: check_entry_settings(found[0]))
+    checked = read_settings(define_entry_flags, check_entry_settings, arguments)
     if not is_successful(checked):
         sys.stderr.write(f'{format_findings(checked.failure())}\n')
         return USAGE_STATUS
--- a/src/monsoonwall/commands/explain.py
+++ b/src/monsoonwall/commands/explain.py
@@ -1,6 +1,7 @@
 """Explain where a call goes and why."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from urllib.parse import urlencode
 
 from absl.flags import DEFINE_list, DEFINE_string, FlagValues
@@ -19,7 +20,7 @@
     OperatorSettings,
     check_operator_settings,
     define_operator_flags,
-    parse_flags,
+    read_settings,
 )
 
 
@@ -41,14 +42,27 @@
 
 def run_explain(arguments: Sequence[str]) -> int:
     """Print the explanation and return the exit status."""
-    parsed = parse_flags(define_explain_flags, arguments)
-    checked = parsed.bind(lambda found: check_operator_settings(found[0]))
-    query = parsed.bind(lambda found: _make_query(found[0]))
-    for outcome in (checked, query):
-        if not is_successful(outcome):
-            print_error(format_findings(outcome.failure()))
-            return ExitStatus.usage
-    return _print_answer(checked.unwrap(), query.unwrap())
+    read = read_settings(define_explain_flags, _check_question, arguments)
+    if not is_successful(read):
+        print_error(format_findings(read.failure()))
+        return ExitStatus.usage
+    return _print_answer(read.unwrap())
+
+
+@dataclass(frozen=True)
+class _Asking:
+    settings: OperatorSettings
+    query: str
+
+
+def _check_question(
+    values: FlagValues,
+) -> Result[_Asking, tuple[Finding, ...]]:
+    checked = check_operator_settings(values)
+    query = _make_query(values)
+    if is_successful(checked) and is_successful(query):
+        return Success(_Asking(checked.unwrap(), query.unwrap()))
+    return Failure((*checked.swap().value_or(()), *query.swap().value_or(())))
 
 
 def _make_query(values: FlagValues) -> Result[str, tuple[Finding, ...]]:
@@ -67,8 +81,9 @@
     return Success(urlencode(given))
 
 
-def _print_answer(settings: OperatorSettings, query: str) -> int:
-    answer = call_host(settings, f'/admin/explain?{query}')
+def _print_answer(asking: _Asking) -> int:
+    settings = asking.settings
+    answer = call_host(settings, f'/admin/explain?{asking.query}')
     if not is_successful(answer):
         print_error(answer.failure())
         return ExitStatus.unknown
--- a/src/monsoonwall/commands/patch.py
+++ b/src/monsoonwall/commands/patch.py
@@ -3,6 +3,7 @@
 import secrets
 import time
 from collections.abc import Sequence
+from dataclasses import dataclass
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -24,11 +25,12 @@
     OperatorSettings,
     check_operator_settings,
     define_operator_flags,
-    parse_flags,
+    read_settings,
 )
 
 _ID_BYTES: Final = 6
 _POLL_SECONDS: Final = 0.2
+_NO_BASE: Final = Finding('--base', 'must be set; the status tells the number')
 _STATUSES: Final = MappingProxyType(
     {
         'accepted': ExitStatus.done,
@@ -72,64 +74,61 @@
 
 def run_patch(arguments: Sequence[str]) -> int:
     """Submit the patch and return the exit status."""
-    parsed = parse_flags(define_patch_flags, arguments)
-    read = parsed.bind(lambda found: _read_inputs(found[0]))
+    read = read_settings(define_patch_flags, _check_inputs, arguments)
     if not is_successful(read):
         print_error(format_findings(read.failure()))
         return ExitStatus.usage
-    body = read.unwrap()
-    values = parsed.unwrap()[0]
-    settings = check_operator_settings(values).unwrap()
-    answer = call_host(settings, '/admin/patch', body)
+    wanted = read.unwrap()
+    answer = call_host(wanted.settings, '/admin/patch', wanted.body)
     if not is_successful(answer):
-        print_error(_advise_repeat(body, answer.failure()))
+        print_error(_advise_repeat(wanted.body, answer.failure()))
         return ExitStatus.unknown
-    return _conclude(settings, values, body, answer.unwrap())
+    return _conclude(wanted, answer.unwrap())
 
 
-def _read_inputs(
+@dataclass(frozen=True)
+class _Wanted:
+    settings: OperatorSettings
+    body: dict[str, Any]
+    wait_seconds: float
+
+
+def _check_inputs(
     values: FlagValues,
-) -> Result[dict[str, Any], tuple[Finding, ...]]:
+) -> Result[_Wanted, tuple[Finding, ...]]:
     base = values['base'].value
     patch = read_json_file(values['file'].value)
     settings = check_operator_settings(values)
-    findings = [
-        finding
-        for outcome in (patch, settings)
-        if not is_successful(outcome)
-        for finding in outcome.failure()
-    ]
-    if base is None:
-        findings.append(
-            Finding('--base', 'must be set; the status tells the number')
-        )
+    findings = (
+        *patch.swap().value_or(()),
+        *settings.swap().value_or(()),
+        *((_NO_BASE,) if base is None else ()),
+    )
     if findings:
-        return Failure(tuple(findings))
+        return Failure(findings)
     patch_id = values['patch_id'].value or secrets.token_hex(_ID_BYTES)
+    body = {'base': base, 'patch_id': patch_id, 'patch': patch.unwrap()}
     return Success(
-        {'base': base, 'patch_id': patch_id, 'patch': patch.unwrap()}
+        _Wanted(settings.unwrap(), body, values['wait_seconds'].value)
     )
 
 
-def _conclude(
-    settings: OperatorSettings,
-    values: FlagValues,
-    body: dict[str, Any],
-    answer: HostAnswer,
-) -> int:
+def _conclude(wanted: _Wanted, answer: HostAnswer) -> int:
+    settings = wanted.settings
+    patch_id = wanted.body['patch_id']
     outcome = answer.content
     if 'ending' not in outcome:
         print_error(f'refused: {outcome.get("error", outcome)}')
         return ExitStatus.refused
     if outcome['ending'] == 'accepted':
-        deadline = time.monotonic() + values['wait_seconds'].value
+        deadline = time.monotonic() + wanted.wait_seconds
         outcome['in_force'] = _wait_in_force(
             settings, outcome['number'], deadline
         )
     if settings.json_output:
-        print_json({**outcome, 'patch_id': body['patch_id']})
+        print_json({**outcome, 'patch_id': patch_id})
     else:
-        _print_outcome(outcome, body['patch_id'])
+        _print_outcome(outcome, patch_id)
     return _STATUSES.get(outcome['ending'], ExitStatus.unknown)
 
 
--- a/src/monsoonwall/commands/status.py
+++ b/src/monsoonwall/commands/status.py
@@ -17,14 +17,15 @@
 from monsoonwall.settings import (
     check_operator_settings,
     define_operator_flags,
-    parse_flags,
+    read_settings,
 )
 
 
 def run_status(arguments: Sequence[str]) -> int:
     """Print the status and return the exit status."""
-    parsed = parse_flags(define_operator_flags, arguments)
-    checked = parsed.bind(lambda found: check_operator_settings(found[0]))
+    checked = read_settings(
+        define_operator_flags, check_operator_settings, arguments
+    )
     if not is_successful(checked):
         print_error(format_findings(checked.failure()))
         return ExitStatus.usage
--- a/src/monsoonwall/settings.py
+++ b/src/monsoonwall/settings.py
@@ -8,7 +8,7 @@
 import os
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, TypeVar
 
 from absl.flags import (
     DEFINE_bool,
@@ -19,10 +19,13 @@
     Error,
     FlagValues,
 )
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from monsoonwall.findings import Finding
 
+_Settings = TypeVar('_Settings')
+
 ENVIRONMENT_PREFIX: Final = 'MONSOONWALL_'
 _PROGRAM: Final = 'monsoonwall'
 _MAX_PORT: Final = 65_535
@@ -86,23 +89,24 @@
     )
 
 
-def parse_flags(
+def read_settings(
     define: Callable[[FlagValues], None],
+    check: Callable[[FlagValues], Result[_Settings, tuple[Finding, ...]]],
     arguments: Sequence[str],
     environment: Mapping[str, str] = os.environ,
-) -> Result[tuple[FlagValues, tuple[str, ...]], tuple[Finding, ...]]:
-    """Return the flags and the positional arguments, or every finding."""
+) -> Result[_Settings, tuple[Finding, ...]]:
+    """Return checked settings, or the findings of parsing and checking."""
     values = FlagValues()
     define(values)
-    findings = _apply_environment(values, environment)
-    try:
-        rest = values((_PROGRAM, *arguments))
-    except Error as error:
-        faults = _check_singly(define, arguments)
-        findings.extend(faults or [Finding('flags', str(error))])
-    if findings:
-        return Failure(tuple(findings))
-    return Success((values, tuple(rest[1:])))
+    findings = [
+        *_apply_environment(values, environment),
+        *_apply_arguments(values, arguments),
+    ]
+    # What could be parsed is checked too, so that one run tells it all.
+    checked = check(values)
+    if is_successful(checked) and not findings:
+        return checked
+    return Failure((*findings, *checked.swap().value_or(())))
 
 
 def describe_flags(define: Callable[[FlagValues], None]) -> str:
@@ -254,16 +258,24 @@
     )
 
 
-def _check_singly(
-    define: Callable[[FlagValues], None], arguments: Sequence[str]
+def _apply_arguments(
+    values: FlagValues, arguments: Sequence[str]
+) -> list[Finding]:
+    try:
+        rest = values((_PROGRAM, *arguments))
+    except Error:
+        return _apply_singly(values, arguments)
+    return [
+        Finding(word, 'is no flag; write --name=value') for word in rest[1:]
+    ]
+
+
+def _apply_singly(
+    values: FlagValues, arguments: Sequence[str]
 ) -> list[Finding]:
     """Return the fault of each argument, where the parser names the first."""
     findings = []
     for argument in arguments:
-        values = FlagValues()
-        define(values)
-        if not argument.startswith('-'):
-            continue
         try:
             values((_PROGRAM, argument))
         except Error as error:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,7 +1,10 @@
 """Imitate the platform: objects with versions, conditions and watches.
 
 POST /control sets ``outage`` (every call is refused), ``lose_answers``
-(writes take effect but their answers are lost) and ``slow_seconds``.
+(writes take effect but their answers are lost), ``slow_seconds`` and
+``stale_reads`` (reads, not watches, give each object as it was that many
+writes ago). GET /control tells the calls by method; a watch counts twice,
+under GET and under WATCH.
 """
 
 import asyncio
@@ -20,6 +23,7 @@
 
     def __init__(self):
         self.objects = {}
+        self.history = {}
         self.counter = 0
         self.calls = Counter()
         self.control = {}
@@ -29,6 +33,7 @@
         """Set an object and wake the watches."""
         self.counter += 1
         self.objects[key] = (self.counter, content)
+        self.history.setdefault(key, []).append(self.objects[key])
         self.changed.set()
         self.changed = asyncio.Event()
         return self.counter
@@ -59,6 +64,12 @@
 
     async def get(self, key):
         after = int(self.get_argument('watch_after', '-1'))
+        stale = self.store.control.get('stale_reads', 0)
+        if after >= 0:
+            self.store.calls['WATCH'] += 1
+        elif stale and key in self.store.objects:
+            self.give(*self.store.history[key][-1 - stale :][0])
+            return
         wait = float(self.get_argument('wait_seconds', '0'))
         deadline = asyncio.get_running_loop().time() + wait
         while self.store.objects.get(key, (0, b''))[0] <= after:
