--- a/src/monsoonwall/commands/status.py
+++ b/src/monsoonwall/commands/status.py
@@ -17,14 +17,15 @@
 from monsoonwall.settings import (
     check_operator_settings,
     define_operator_flags,
-    parse_flags,
+    read_settings,
 )
 
 
 def run_status(arguments: Sequence[str]) -> int:
     """Print the status and return the exit status."""
-    parsed = parse_flags(define_operator_flags, arguments)
-    checked = parsed.bind(lambda found: check_operator_settings(found[0]))
+    checked = read_settings(
+        define_operator_flags, check_operator_settings, arguments
+    )
     if not is_successful(checked):
         print_error(format_findings(checked.failure()))
         return ExitStatus.usage
@@ -58,7 +59,7 @@
     by_zone: dict[str, list[str]] = {}
     for told in content['hosts']:
         note = told['note']
-        line = f'    {told["host"]}: number {note["number"]} {note["problem"]}'
+        line = f'    {told["host"]}: number {note["lowest"]} {note["problem"]}'
         by_zone.setdefault(note['zone'], []).append(line.rstrip())
     for zone in sorted(by_zone):
         print_lines(f'  zone {zone}:', *sorted(by_zone[zone]))
--- a/src/monsoonwall/configuration/neighbours.py
+++ b/src/monsoonwall/configuration/neighbours.py
@@ -11,6 +11,7 @@
     HostNote,
     decode_note,
     encode_note,
+    merge_notes,
 )
 from monsoonwall.decisions.adoption import ZoneHost, choose_watchers
 from monsoonwall.mesh.board import Board, Entry, Fact
@@ -38,6 +39,7 @@
         self._identity = identity
         self._board = board
         self._arriving: Queue[Entry | Fact] = board.subscribe(HELD)
+        board.declare_merge(HELD, merge_notes)
         self._published: HostNote | None = None
         self._publish_due = now
         self._ranking_due = now
@@ -69,11 +71,10 @@
         if now < self._ranking_due:
             return
         self._ranking_due = now + _RANKING_SECONDS
-        hosts = {
-            ZoneHost(told.host, told.note.zone) for told in self.list_notes()
-        }
+        notes = self.list_notes()
+        self.count = sum(told.note.hosts for told in notes)
+        hosts = {ZoneHost(told.host, told.note.zone) for told in notes}
         hosts.add(ZoneHost(self._identity.name, self._identity.zone))
-        self.count = len(hosts)
         watchers = choose_watchers(hosts, self._identity.zone)
         self.watching = self._identity.name in watchers
 
