Judge version moves by tests that stay valid under continuous looking

Traffic is shared by a hash of the request id; evidence is counted per host in growing counters that add up. A move's share follows the time left, bounded by what was judged so far. Each test keeps a stake that does not grow on average when both versions are alike; stakes are also kept without each group of servers and without each bucket of contents, so that one bad host or one crashing request does not carry the verdict.

--- /dev/null
+++ b/src/monsoonwall/decisions/moves.py
@@ -0,0 +1,253 @@
+"""Take a version move from its begin to its end.
+
+A course is advanced with new evidence and the time, and answers with the
+share of the new version. It ends by its own conclusion or by one that
+another host drew; a withdrawal goes before everything else.
+"""
+
+import math
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from msgspec import msgpack
+from xxhash import xxh3_64_hexdigest
+
+from monsoonwall.configuration.model import Move
+from monsoonwall.decisions.evidence import Increment
+from monsoonwall.decisions.judgement import Judge, Verdict
+from monsoonwall.decisions.traffic import (
+    Pace,
+    find_confirmed,
+    is_proven,
+    plan_share,
+)
+
+_RATE_SECONDS: Final = 60.0
+# A request that has not ended after some of these is taken as lost with the
+# host that carried it, so that it can't hold the move up for good.
+_FORGET_SECONDS: Final = 120.0
+
+
+class Phase(StrEnum):
+    """Name how far a move is."""
+
+    planned = 'planned'
+    under_way = 'under_way'
+    done = 'done'
+    withdrawn = 'withdrawn'
+
+
+@dataclass(frozen=True)
+class Conclusion:
+    """End a move, on every host and for good.
+
+    ``requests`` counts what the new version was given until then.
+    """
+
+    phase: Phase
+    reason: str
+    decided_wall: float
+    requests: int
+
+
+@dataclass(frozen=True)
+class MoveStatus:
+    """Tell operators about one move; times are Unix seconds."""
+
+    name: str
+    service: str
+    from_version: str
+    to_version: str
+    phase: Phase
+    share: float
+    late: bool
+    reason: str
+    requests: int
+    judged: int
+    suspicion: float
+    begin_wall: float
+    deadline_wall: float
+    concluded_wall: float | None
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Hold a move under its name, with its versions' server groups."""
+
+    name: str
+    move: Move
+    old_servers: int
+    new_servers: int
+
+    @property
+    def identity(self) -> str:
+        """Return a key that changes when an operator changes the move."""
+        return f'{self.name}@{xxh3_64_hexdigest(msgpack.encode(self.move))}'
+
+    @property
+    def fair_share(self) -> float:
+        """Return the share that loads the servers of both versions alike."""
+        servers = self.old_servers + self.new_servers
+        return self.new_servers / servers if self.new_servers else 0
+
+
+class MoveCourse:
+    """Follow one move."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.conclusion: Conclusion | None = None
+        self.share: float = 0
+        self._judge = Judge(
+            plan.old_servers,
+            plan.new_servers,
+            plan.move.begin_wall,
+            plan.move.deadline_wall,
+        )
+        self._verdict = self._judge.decide()
+        self._traffic = _Traffic()
+        self._full_wall: float | None = None
+
+    def replan(self, plan: Plan) -> None:
+        """Take over other numbers of servers for the same move."""
+        self.plan = plan
+        self._judge.count_servers(plan.old_servers, plan.new_servers)
+
+    def advance(self, increment: Increment, now_wall: float) -> None:
+        """Take in evidence, and set the share or conclude the move."""
+        if self.conclusion is not None:
+            return
+        self._traffic.add(increment, now_wall)
+        if increment.cells:
+            self._judge.take(increment, now_wall)
+            self._verdict = self._judge.decide()
+        if self._verdict.worse:
+            reason = _explain(self._verdict)
+            self.conclude(self._conclude(Phase.withdrawn, reason, now_wall))
+            return
+        pace = self._make_pace()
+        self.share = plan_share(pace, now_wall) if pace.fair_share else 0
+        self._confirm(pace, now_wall)
+
+    def conclude(self, conclusion: Conclusion) -> bool:
+        """End the move as some host decided; return whether that is news."""
+        known = self.conclusion
+        if known is not None and (
+            known.phase is Phase.withdrawn or conclusion.phase is Phase.done
+        ):
+            return False
+        self.conclusion = conclusion
+        self.share = 1 if conclusion.phase is Phase.done else 0
+        return True
+
+    def describe(self, now_wall: float) -> MoveStatus:
+        """Return the status of the move."""
+        move = self.plan.move
+        conclusion = self.conclusion
+        concluded_wall = conclusion.decided_wall if conclusion else None
+        ended_wall = now_wall if concluded_wall is None else concluded_wall
+        return MoveStatus(
+            self.plan.name,
+            move.service,
+            move.from_version,
+            move.to_version,
+            self._find_phase(now_wall),
+            self.share,
+            ended_wall > move.deadline_wall,
+            conclusion.reason if conclusion else self._explain_wait(now_wall),
+            conclusion.requests if conclusion else self._traffic.begun_new,
+            self._judge.trials,
+            self._verdict.strength,
+            move.begin_wall,
+            move.deadline_wall,
+            concluded_wall,
+        )
+
+    def _find_phase(self, now_wall: float) -> Phase:
+        if self.conclusion is not None:
+            return self.conclusion.phase
+        if now_wall < self.plan.move.begin_wall:
+            return Phase.planned
+        return Phase.under_way
+
+    def _explain_wait(self, now_wall: float) -> str:
+        if now_wall < self.plan.move.begin_wall:
+            return ''
+        if not self.plan.new_servers:
+            return 'no backend server runs the new version'
+        if self._verdict.suspected:
+            return f'more evidence needed: {_explain(self._verdict)}'
+        if not self._judge.trials:
+            return 'no answer from the new version yet'
+        if not is_proven(self._make_pace()):
+            return 'too few answers from the new version to judge it'
+        return ''
+
+    def _confirm(self, pace: Pace, now_wall: float) -> None:
+        if self.share < 1:
+            self._full_wall = None
+            return
+        if self._full_wall is None:
+            self._full_wall = now_wall
+        if now_wall >= find_confirmed(pace, self._full_wall):
+            self.conclude(
+                self._conclude(Phase.done, 'no fault found', now_wall)
+            )
+
+    def _conclude(
+        self, phase: Phase, reason: str, now_wall: float
+    ) -> Conclusion:
+        return Conclusion(phase, reason, now_wall, self._traffic.begun_new)
+
+    def _make_pace(self) -> Pace:
+        move = self.plan.move
+        return Pace(
+            move.begin_wall,
+            move.deadline_wall,
+            self._traffic.rate,
+            self.plan.fair_share,
+            self._traffic.unanswered,
+            self._judge.trials,
+            self._verdict.suspected,
+        )
+
+
+class _Traffic:
+    """Measure how many requests come, and how many wait for an answer."""
+
+    def __init__(self) -> None:
+        self.begun_new = 0
+        self.unanswered: float = 0
+        self._recent: float = 0
+        self._known: float = 0
+        self._last_wall: float | None = None
+
+    @property
+    def rate(self) -> float:
+        """Return the requests a second of late."""
+        return self._recent / self._known if self._known else 0
+
+    def add(self, increment: Increment, now_wall: float) -> None:
+        """Count what came since the last time."""
+        if self._last_wall is None:
+            self._last_wall = now_wall
+        passed = max(0, now_wall - self._last_wall)
+        self._last_wall = now_wall
+        begun = increment.begun_old + increment.begun_new
+        kept = math.exp(-passed / _RATE_SECONDS)
+        self._recent = self._recent * kept + begun
+        self._known = self._known * kept + passed
+        self.begun_new += increment.begun_new
+        forgotten = math.exp(-passed / _FORGET_SECONDS)
+        waiting = self.unanswered * forgotten
+        waiting += increment.begun_new - increment.ended_new
+        self.unanswered = max(0, waiting)
+
+
+def _explain(verdict: Verdict) -> str:
+    finding = verdict.finding
+    if finding is None:
+        return ''
+    where = f'on route {finding.route}' if finding.route else 'on all routes'
+    return f'{finding.suspicion} {where}, compared with the old version'
--- /dev/null
+++ b/src/monsoonwall/decisions/traffic.py
@@ -0,0 +1,98 @@
+"""Share traffic between two versions, alike on every host.
+
+A request is on the new version when its hash lies below the share. As the
+share grows, requests only ever change from the old to the new version.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from xxhash import xxh3_64_intdigest
+
+_HASH_BITS: Final = 64
+_HASH_SPAN: Final = float(1 << _HASH_BITS)
+
+# The plan of a move, in parts of the time between its begin and deadline.
+_FAIR_AT: Final = 0.35
+_FULL_AT: Final = 0.82
+_CONFIRMED: Final = 0.1
+_FIRST_STEP: Final = 0.05
+
+FIRST_REQUESTS: Final = 8
+# A step sends at most as many requests as were judged so far, over a time
+# that covers the spread of evidence and the usual length of an answer.
+_STEP_SECONDS: Final = 15.0
+_MIN_FULL_TRIALS: Final = 40
+_LEAST_SHARE: Final = 0.001
+
+
+@dataclass(frozen=True)
+class Pace:
+    """Hold what the next share of a move is made from.
+
+    Times are Unix seconds. ``rate`` is in requests a second of the service,
+    over both versions; ``fair_share`` is the new version's part of the
+    servers. ``unanswered`` counts the requests lately given to the new
+    version that have not ended, ``judged`` those that ended and count.
+    """
+
+    begin_wall: float
+    deadline_wall: float
+    rate: float
+    fair_share: float
+    unanswered: float
+    judged: int
+    suspected: bool
+
+
+def find_position(move: str, request_id: str) -> float:
+    """Return where a request lies in a move's traffic, from 0 up to 1."""
+    return xxh3_64_intdigest(f'{move}\0{request_id}') / _HASH_SPAN
+
+
+def plan_share(pace: Pace, now_wall: float) -> float:
+    """Return the part of the requests that goes to the new version now."""
+    if now_wall < pace.begin_wall:
+        return 0
+    span = max(1.0, pace.deadline_wall - pace.begin_wall)
+    elapsed = (now_wall - pace.begin_wall) / span
+    if elapsed >= _FULL_AT and is_proven(pace):
+        return 1
+    if pace.unanswered >= _limit_unanswered(pace):
+        # What was sent has not been answered yet, so nothing is known of it.
+        return 0
+    planned = _grow_share(pace, span, elapsed)
+    return min(planned, _limit_share(pace), pace.fair_share)
+
+
+def is_proven(pace: Pace) -> bool:
+    """Tell whether the new version may take all requests."""
+    return pace.judged >= _MIN_FULL_TRIALS and not pace.suspected
+
+
+def find_confirmed(pace: Pace, full_wall: float) -> float:
+    """Return when a version that took all at ``full_wall`` has proven good."""
+    span = pace.deadline_wall - pace.begin_wall
+    return full_wall + max(0, span * _CONFIRMED)
+
+
+def _limit_unanswered(pace: Pace) -> int:
+    # Under suspicion the next answers are awaited before more is sent.
+    known = 0 if pace.suspected else pace.judged
+    return max(FIRST_REQUESTS, known)
+
+
+def _grow_share(pace: Pace, span: float, elapsed: float) -> float:
+    # The share grows by a constant factor a second, so that each step is as
+    # large against what is known as the one before, and fits the time left.
+    first = FIRST_REQUESTS / max(pace.rate * span * _FIRST_STEP, 1)
+    first = min(max(first, _LEAST_SHARE), pace.fair_share)
+    if elapsed <= _FIRST_STEP:
+        return first
+    climbed = min(1, (elapsed - _FIRST_STEP) / (_FAIR_AT - _FIRST_STEP))
+    return first * (pace.fair_share / first) ** climbed
+
+
+def _limit_share(pace: Pace) -> float:
+    requests = max(FIRST_REQUESTS, pace.judged)
+    return requests / max(pace.rate * _STEP_SECONDS, 1)
--- /dev/null
+++ b/src/monsoonwall/entry/moving.py
@@ -0,0 +1,211 @@
+"""Move services between versions, in step with the other entry hosts.
+
+The task counts evidence, decides on all hosts' counters and publishes how
+moves end. It holds no lock and has no leader: every host decides alike on the
+same evidence, and whichever sees enough of it first ends the move for all.
+"""
+
+import asyncio
+from collections.abc import Iterator
+from typing import Final
+
+from monsoonwall.clocks import Clock
+from monsoonwall.configuration.model import Configuration, Move
+from monsoonwall.decisions.evidence import ServerGroups
+from monsoonwall.decisions.moves import (
+    Conclusion,
+    MoveCourse,
+    MoveStatus,
+    Plan,
+)
+from monsoonwall.mesh.board import Board, Entry, Fact
+from monsoonwall.moves.carrying import CarriedMove
+from monsoonwall.moves.keeping import RecordKeeper
+from monsoonwall.moves.ledger import EvidenceLedger
+from monsoonwall.moves.records import (
+    CONCLUSION_KIND,
+    ConclusionBoard,
+    ConclusionStore,
+)
+from monsoonwall.pipeline.messages import AttemptRecord, Call
+from monsoonwall.pipeline.stages import Observer, VersionChoice
+from monsoonwall.platform.objects import ObjectStore
+
+_TICK_SECONDS: Final = 0.5
+_MILLISECONDS: Final = 1000
+
+
+class MovingTask(Observer):
+    """Carry out the moves of the configuration in force."""
+
+    def __init__(
+        self, board: Board, store: ObjectStore, clock: Clock, host_name: str
+    ) -> None:
+        self._board = board
+        self._conclusions = ConclusionBoard(board)
+        self._clock = clock
+        self._epoch = int(clock.read_wall() * _MILLISECONDS)
+        self._carried: dict[str, CarriedMove] = {}
+        self._services: dict[str, tuple[CarriedMove, ...]] = {}
+        self._keeper = RecordKeeper(
+            self._conclusions, ConclusionStore(store), clock, host_name
+        )
+        self._started = False
+
+    def adopt(self, configuration: Configuration) -> None:
+        """Follow the moves of a configuration; known ones go on."""
+        carried = [
+            self._carry(configuration, name, move)
+            for name, move in configuration.moves.items()
+        ]
+        carried.sort(key=_find_begin)
+        self._carried = {one.identity: one for one in carried}
+        self._services = {
+            service: tuple(
+                one
+                for one in carried
+                if one.course.plan.move.service == service
+            )
+            for service in configuration.services
+        }
+        if not self._started:
+            # Any of these may have ended while no host was left to tell.
+            self._keeper.read_later(self._carried)
+            self._started = True
+        self._adopt_conclusions()
+
+    def choose_version(self, call: Call, active: str) -> str:
+        """Return the version of a call whose service runs ``active``."""
+        version = active
+        for one in self._list_moves(call.service, version):
+            if one.is_done:
+                version = one.move.to_version
+            elif one.takes(call):
+                return one.move.to_version
+        return version
+
+    def choose_again(self, call: Call, version: str, emitted: int) -> str:
+        """Return the version for a call whose attempt failed.
+
+        An answer that has begun stays on its version, so that it is of one
+        piece, unless the version was withdrawn since. One that has not
+        begun goes to the old version, which is the one known to work.
+        """
+        for one in self._services.get(call.service, ()):
+            leaves = one.is_withdrawn or not (emitted or one.is_done)
+            if one.move.to_version == version and leaves:
+                return one.move.from_version
+        return version
+
+    def observe(self, record: AttemptRecord) -> None:
+        """Count an ended attempt for the moves of its service."""
+        for one in self._services.get(record.call.service, ()):
+            one.observe(record)
+
+    def describe_moves(self) -> tuple[MoveStatus, ...]:
+        """Return the status of every move, in the order of their begins."""
+        now_wall = self._clock.read_wall()
+        return tuple(
+            one.course.describe(now_wall) for one in self._carried.values()
+        )
+
+    async def run(self) -> None:
+        """Decide and publish until cancelled."""
+        await asyncio.gather(
+            self._keep_deciding(),
+            self._follow_conclusions(),
+            self._keeper.run(),
+        )
+
+    def decide(self) -> None:
+        """Exchange evidence and advance every move once."""
+        now_wall = self._clock.read_wall()
+        for one in self._carried.values():
+            if one.course.conclusion is None:
+                self._advance(one, now_wall)
+            one.report(now_wall)
+
+    def _carry(
+        self, configuration: Configuration, name: str, move: Move
+    ) -> CarriedMove:
+        servers = configuration.backend_servers
+        old = ServerGroups(servers, move.service, move.from_version)
+        new = ServerGroups(servers, move.service, move.to_version)
+        plan = Plan(name, move, len(old), len(new))
+        known = self._carried.get(plan.identity)
+        if known is None:
+            ledger = EvidenceLedger(self._board, plan.identity, self._epoch)
+            return CarriedMove(MoveCourse(plan), ledger, old, new)
+        known.course.replan(plan)
+        return CarriedMove(known.course, known.ledger, old, new, known.reported)
+
+    def _list_moves(self, service: str, active: str) -> Iterator[CarriedMove]:
+        version = active
+        for one in self._services.get(service, ()):
+            if one.move.from_version == version:
+                yield one
+                version = one.move.to_version if one.is_done else version
+
+    def _advance(self, one: CarriedMove, now_wall: float) -> None:
+        one.ledger.publish()
+        increment = one.ledger.collect()
+        one.course.advance(increment, now_wall)
+        conclusion = one.course.conclusion
+        if conclusion is None and self._keeper.is_unread(one.identity):
+            # The version may have been withdrawn before all hosts restarted.
+            one.course.share = 0
+        if conclusion is not None:
+            self._conclusions.spread(one.identity, conclusion)
+            self._keeper.write_first(one.identity, conclusion)
+
+    def _adopt_conclusions(self) -> None:
+        for identity, conclusion in self._conclusions.read().items():
+            self._adopt_conclusion(identity, conclusion)
+
+    def _adopt_conclusion(self, identity: str, conclusion: Conclusion) -> None:
+        one = self._carried.get(identity)
+        if one is None or not one.course.conclude(conclusion):
+            return
+        self._keeper.write_in_turn(identity, conclusion)
+        one.report(self._clock.read_wall())
+
+    async def _keep_deciding(self) -> None:
+        while True:
+            self.decide()
+            await asyncio.sleep(_TICK_SECONDS)
+
+    async def _follow_conclusions(self) -> None:
+        arriving = self._board.subscribe(CONCLUSION_KIND)
+        self._adopt_conclusions()
+        while True:
+            record: Entry | Fact = await arriving.get()
+            if isinstance(record, Fact):
+                self._adopt_conclusion(
+                    record.key, self._conclusions.decode(record)
+                )
+
+
+class MovingVersionChoice(VersionChoice):
+    """Choose versions by the moves and one configuration."""
+
+    def __init__(
+        self, configuration: Configuration, moving: MovingTask
+    ) -> None:
+        self._services = configuration.services
+        self._moving = moving
+
+    def choose_version(self, call: Call, now: float) -> str:
+        """Return the version that serves a new call."""
+        active = self._services[call.service].active_version
+        return self._moving.choose_version(call, active)
+
+    def choose_again(
+        self, call: Call, version: str, emitted: int, now: float
+    ) -> str:
+        """Return the version for a further attempt after a failed one."""
+        return self._moving.choose_again(call, version, emitted)
+
+
+def _find_begin(carried: CarriedMove) -> tuple[float, str]:
+    plan = carried.course.plan
+    return plan.move.begin_wall, plan.name
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -30,6 +30,16 @@
 TOKENS = Counter(
     'monsoonwall_tokens_total', 'Tokens relayed to callers.', ('service',)
 )
+MOVE_SHARE = Gauge(
+    'monsoonwall_move_share',
+    'Part of the requests that a move gives to its new version.',
+    ('move',),
+)
+MOVE_CONCLUSIONS = Counter(
+    'monsoonwall_move_conclusions_total',
+    'Moves that this host saw end, by how.',
+    ('phase',),
+)
 FIRST_TOKEN = Histogram(
     'monsoonwall_first_token_seconds',
     'Time from a request to its first token.',
--- /dev/null
+++ b/src/monsoonwall/moves/carrying.py
@@ -0,0 +1,91 @@
+"""Carry one move: count its evidence, follow its course, report it."""
+
+from dataclasses import dataclass
+
+from monsoonwall.configuration.model import Move
+from monsoonwall.decisions.evidence import ServerGroups, Side
+from monsoonwall.decisions.moves import MoveCourse, Phase
+from monsoonwall.decisions.traffic import find_position
+from monsoonwall.logs import make_logger
+from monsoonwall.metrics import MOVE_CONCLUSIONS, MOVE_SHARE
+from monsoonwall.moves.ledger import EvidenceLedger
+from monsoonwall.pipeline.messages import AttemptRecord, Call
+
+_log = make_logger('moves')
+
+
+@dataclass
+class CarriedMove:
+    """Hold what a host keeps for one move."""
+
+    course: MoveCourse
+    ledger: EvidenceLedger
+    old_groups: ServerGroups
+    new_groups: ServerGroups
+    reported: tuple[object, ...] = ()
+
+    @property
+    def move(self) -> Move:
+        """Return the move as it is configured."""
+        return self.course.plan.move
+
+    @property
+    def identity(self) -> str:
+        """Return the key of the move on the board."""
+        return self.course.plan.identity
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether the new version has taken over."""
+        conclusion = self.course.conclusion
+        return conclusion is not None and conclusion.phase is Phase.done
+
+    @property
+    def is_withdrawn(self) -> bool:
+        """Tell whether the new version was taken back."""
+        conclusion = self.course.conclusion
+        return conclusion is not None and conclusion.phase is Phase.withdrawn
+
+    def takes(self, call: Call) -> bool:
+        """Tell whether a call goes to the new version, and count it."""
+        if self.is_withdrawn:
+            return False
+        position = find_position(self.identity, call.request_id)
+        new = position < self.course.share
+        self.ledger.counter.count_begin(Side.new if new else Side.old)
+        return new
+
+    def observe(self, record: AttemptRecord) -> None:
+        """Count an ended attempt of either version."""
+        # A request that runs apart is suspected of crashing its servers.
+        if self.course.conclusion is not None or record.choice.isolated:
+            return
+        version = record.choice.version
+        server = record.choice.server
+        if version == self.move.to_version:
+            group = self.new_groups.find(server)
+            self.ledger.counter.count_attempt(record, Side.new, group)
+        elif version == self.move.from_version:
+            group = self.old_groups.find(server)
+            self.ledger.counter.count_attempt(record, Side.old, group)
+
+    def report(self, now_wall: float) -> None:
+        """Log what changed in the state of the move."""
+        status = self.course.describe(now_wall)
+        MOVE_SHARE.labels(status.name).set(status.share)
+        full = status.share >= 1
+        shown = (status.phase, status.late, full, status.reason)
+        if shown == self.reported:
+            return
+        if self.course.conclusion is not None:
+            MOVE_CONCLUSIONS.labels(status.phase).inc()
+        self.reported = shown
+        _log.info(
+            'Move changed.',
+            move=status.name,
+            phase=status.phase.value,
+            share=round(status.share, 4),
+            late=status.late,
+            reason=status.reason,
+            requests=status.requests,
+        )
--- /dev/null
+++ b/src/monsoonwall/moves/ledger.py
@@ -0,0 +1,59 @@
+"""Share the evidence on moves with the other hosts."""
+
+from typing import Final
+
+from msgspec import DecodeError, ValidationError, msgpack
+
+from monsoonwall.decisions.evidence import (
+    EvidenceCounter,
+    EvidencePool,
+    HostEvidence,
+    Increment,
+    merge_increments,
+)
+from monsoonwall.logs import make_logger
+from monsoonwall.mesh.board import Board, Entry
+
+_EVIDENCE_KIND: Final = 'move-evidence'
+
+_log = make_logger('moves')
+
+
+class EvidenceLedger:
+    """Publish this host's counters of one move and read all hosts'."""
+
+    def __init__(self, board: Board, identity: str, epoch: int) -> None:
+        self.counter = EvidenceCounter(epoch)
+        self._board = board
+        self._identity = identity
+        self._pool = EvidencePool()
+        self._published = b''
+        self._read: dict[str, bytes] = {}
+        self._decoder = msgpack.Decoder(HostEvidence)
+
+    def publish(self) -> None:
+        """Publish the counters if they grew."""
+        payload = msgpack.encode(self.counter.freeze())
+        if payload != self._published:
+            self._published = payload
+            self._board.publish_entry(_EVIDENCE_KIND, self._identity, payload)
+
+    def collect(self) -> Increment:
+        """Return what all hosts have counted since the last time."""
+        return merge_increments(
+            self._take(entry)
+            for entry in self._board.read_entries(_EVIDENCE_KIND)
+            if entry.key == self._identity
+            and self._read.get(entry.origin) != entry.payload
+        )
+
+    def _take(self, entry: Entry) -> Increment:
+        self._read[entry.origin] = entry.payload
+        try:
+            evidence = self._decoder.decode(entry.payload)
+        except (DecodeError, ValidationError) as error:
+            _log.error(
+                'Evidence is malformed.', origin=entry.origin, error=str(error)
+            )
+            return Increment()
+        return self._pool.take(entry.origin, evidence)
--- /dev/null
+++ b/src/monsoonwall/moves/records.py
@@ -0,0 +1,139 @@
+"""Keep the conclusions of moves where hosts find them again.
+
+A conclusion spreads over the board, which is quick and needs no platform. It
+is also written to the platform once, for the case that no host is left that
+remembers. A withdrawal replaces a completion, never the other way round.
+"""
+
+from typing import Final
+
+from msgspec import DecodeError, ValidationError, json, msgpack
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from monsoonwall.decisions.moves import Conclusion, Phase
+from monsoonwall.mesh.board import Board, Fact
+from monsoonwall.platform.objects import (
+    CallReason,
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+)
+
+CONCLUSION_KIND: Final = 'move-conclusion'
+_RECORDED_KIND: Final = 'move-recorded'
+_KEEP_SECONDS: Final = 2_592_000
+_PREFIX: Final = 'moves/'
+# Of two facts the greater payload stands, so the phase comes first.
+_DONE_MARK: Final = b'\x01'
+_WITHDRAWN_MARK: Final = b'\x02'
+
+
+class ConclusionBoard:
+    """Spread conclusions and what is known of their records."""
+
+    def __init__(self, board: Board) -> None:
+        self._board = board
+        self._decoder = msgpack.Decoder(Conclusion)
+
+    def spread(self, identity: str, conclusion: Conclusion) -> None:
+        """Tell every host how a move ended."""
+        withdrawn = conclusion.phase is Phase.withdrawn
+        mark = _WITHDRAWN_MARK if withdrawn else _DONE_MARK
+        self._publish(
+            CONCLUSION_KIND,
+            identity,
+            mark + msgpack.encode(conclusion),
+            conclusion.decided_wall,
+        )
+
+    def spread_record(self, identity: str, conclusion: Conclusion) -> None:
+        """Tell every host that the platform holds the conclusion."""
+        self._publish(
+            _RECORDED_KIND,
+            identity,
+            conclusion.phase.encode(),
+            conclusion.decided_wall,
+        )
+
+    def read(self) -> dict[str, Conclusion]:
+        """Return the known conclusions by the moves' identities."""
+        return {
+            fact.key: self.decode(fact)
+            for fact in self._board.read_facts(CONCLUSION_KIND)
+        }
+
+    def is_recorded(self, identity: str, conclusion: Conclusion) -> bool:
+        """Tell whether some host has written this conclusion."""
+        return any(
+            (fact.key, fact.payload) == (identity, conclusion.phase.encode())
+            for fact in self._board.read_facts(_RECORDED_KIND)
+        )
+
+    def decode(self, fact: Fact) -> Conclusion:
+        """Return the conclusion that a fact carries."""
+        return self._decoder.decode(fact.payload[len(_DONE_MARK) :])
+
+    def _publish(
+        self, kind: str, key: str, payload: bytes, from_wall: float
+    ) -> None:
+        self._board.publish_fact(
+            Fact(kind, key, payload, from_wall + _KEEP_SECONDS)
+        )
+
+
+class ConclusionStore:
+    """Write conclusions to the platform and read them back."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    async def read(
+        self, identity: str
+    ) -> Result[Conclusion | None, StoreFailure]:
+        """Return the written conclusion, None if there is none."""
+        found = await self._find(identity)
+        return found.map(_decode)
+
+    async def record(self, identity: str, conclusion: Conclusion) -> bool:
+        """Write a conclusion; return whether it or a later one is kept."""
+        found = await self._find(identity)
+        if not is_successful(found):
+            return False
+        stored = found.unwrap()
+        known = _decode(stored)
+        if known is not None and (
+            known.phase is conclusion.phase or known.phase is Phase.withdrawn
+        ):
+            return True
+        content = json.encode(conclusion)
+        key = f'{_PREFIX}{identity}'
+        if stored is None:
+            written = await self._store.create(key, content, CallReason.status)
+        else:
+            written = await self._store.update(
+                key, content, stored.version, CallReason.status
+            )
+        # Whatever else happened shows at the next try, which reads first.
+        return is_successful(written)
+
+    async def _find(
+        self, identity: str
+    ) -> Result[StoredObject | None, StoreFailure]:
+        found = await self._store.read(
+            f'{_PREFIX}{identity}', CallReason.status
+        )
+        if is_successful(found):
+            return Success(found.unwrap())
+        if found.failure() is StoreFailure.missing:
+            return Success(None)
+        return Failure(found.failure())
+
+
+def _decode(stored: StoredObject | None) -> Conclusion | None:
+    if stored is None:
+        return None
+    try:
+        return json.decode(stored.content, type=Conclusion)
+    except (DecodeError, ValidationError):
+        return None
--- a/src/monsoonwall/pipeline/stages.py
+++ b/src/monsoonwall/pipeline/stages.py
@@ -46,6 +46,15 @@
     def choose_version(self, call: Call, now: float) -> str:
         """Return the name of the version."""
 
+    def choose_again(
+        self, call: Call, version: str, emitted: int, now: float
+    ) -> str:
+        """Return the version for a further attempt after a failed one.
+
+        ``emitted`` counts the tokens that the caller may have seen.
+        """
+        return version
+
 
 class ServerRouting(ABC):
     """Choose the backend server for one attempt."""
