--- /dev/null
+++ b/src/monsoonwall/mesh/gossip.py
@@ -0,0 +1,220 @@
+"""Exchange records with the other entry hosts, round after round."""
+
+import asyncio
+from asyncio import Task
+from collections.abc import Coroutine
+from dataclasses import dataclass, replace
+from typing import Any, Final
+
+from grpc import StatusCode
+from grpc.aio import AioRpcError, Server
+from msgspec import msgpack
+
+from monsoonwall.clocks import Clock
+from monsoonwall.logs import make_logger
+from monsoonwall.mesh.board import Fact
+from monsoonwall.mesh.channels import Channels
+from monsoonwall.mesh.exchange import Exchanger
+from monsoonwall.mesh.rounds import Planner
+from monsoonwall.mesh.store import HOST_KIND, HostRecord
+from monsoonwall.mesh.wire.gossip_pb2 import (
+    ExchangeReply,
+    ExchangeRequest,
+    PushReply,
+    PushRequest,
+)
+from monsoonwall.mesh.wire.gossip_pb2_grpc import (
+    MeshServicer,
+    MeshStub,
+    add_MeshServicer_to_server,
+)
+from monsoonwall.metrics import MESH_BYTES, MESH_MESSAGES
+
+_CALL_SECONDS: Final = 1.0
+# Facts that come together travel together, at most so many times a second.
+_PUSH_DELAY_SECONDS: Final = 0.02
+_PUSH_PAUSE_SECONDS: Final = 0.08
+
+_log = make_logger('mesh')
+
+
+class GossipService(MeshServicer):
+    """Answer the gossip of other hosts."""
+
+    def __init__(self, task: 'GossipTask') -> None:
+        self._task = task
+
+    async def Exchange(
+        self, request: ExchangeRequest, _context: Any
+    ) -> ExchangeReply:
+        """Answer with what the caller lacks."""
+        _count('received', 'exchange', request.ByteSize())
+        reply = self._task.answer(request)
+        _count('sent', 'reply', reply.ByteSize())
+        return reply
+
+    async def Push(self, request: PushRequest, _context: Any) -> PushReply:
+        """Take in news."""
+        _count('received', 'push', request.ByteSize())
+        self._task.take_push(request)
+        return PushReply()
+
+
+@dataclass(frozen=True)
+class _Target:
+    address: str
+    name: str = ''
+    zones: tuple[str, ...] = ()
+
+
+class GossipTask:
+    """Own the rounds of one host."""
+
+    def __init__(
+        self,
+        exchanger: Exchanger,
+        planner: Planner,
+        channels: Channels,
+        clock: Clock,
+        record: HostRecord,
+    ) -> None:
+        self.store = exchanger.store
+        self._exchanger = exchanger
+        self._planner = planner
+        self._channels = channels
+        self._clock = clock
+        self._record = record
+        self._urgent: list[Fact] = []
+        self._woken = asyncio.Event()
+        self._running: dict[str, Task[None]] = {}
+        self._describe(record)
+
+    def register(self, server: Server) -> None:
+        """Add the gossip service to the mesh server."""
+        add_MeshServicer_to_server(GossipService(self), server)
+
+    async def run(self) -> None:
+        """Gossip until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._run_rounds())
+            group.create_task(self._run_pushes())
+
+    def answer(self, request: ExchangeRequest) -> ExchangeReply:
+        """Answer another host's digest."""
+        return self._exchanger.answer(
+            request, self._planner.zones, self._clock.read_monotonic()
+        )
+
+    def take_push(self, request: PushRequest) -> None:
+        """Keep what another host handed over, and pass on what is new."""
+        self.store.take_deltas(request.deltas, self._clock.read_monotonic())
+        fresh = self._exchanger.merge_facts(
+            request.facts, self._clock.read_wall()
+        )
+        for fact in fresh:
+            self.spread(fact)
+
+    def spread(self, fact: Fact) -> None:
+        """Hand a fact on at once rather than in the next rounds."""
+        self._urgent.append(fact)
+        self._woken.set()
+
+    async def announce_leaving(self, left: bool) -> None:
+        """Tell all peers that this host leaves, or has left."""
+        self._describe(replace(self._record, leaving=True, left=left))
+        farewell = self._exchanger.make_farewell()
+        await asyncio.gather(
+            *(
+                self._push(_Target(peer.address, peer.name), farewell)
+                for peer in self._planner.roster.list_peers()
+            )
+        )
+
+    def _describe(self, record: HostRecord) -> None:
+        self._record = record
+        self.store.write(
+            self.store.own_log, HOST_KIND, '', msgpack.encode(record)
+        )
+
+    async def _run_rounds(self) -> None:
+        while True:
+            now = self._clock.read_monotonic()
+            for name in self.store.begin_round(now, self._clock.read_wall()):
+                _log.warning('Entry host judged gone.', host=name)
+            rounds = self._planner.plan(self._record, now)
+            for gossip in rounds:
+                for peer in gossip.partners:
+                    self._start(_Target(peer.address, peer.name, gossip.zones))
+            for seed in self._planner.choose_seeds(now):
+                self._start(_Target(seed, '', self._planner.zones))
+            await self._close_channels()
+            await asyncio.sleep(self._planner.round_seconds)
+
+    def _start(self, target: _Target) -> None:
+        # A host that does not answer holds up no other one.
+        if target.address not in self._running:
+            running = _spawn(self._exchange(target))
+            self._running[target.address] = running
+            running.add_done_callback(
+                lambda _done: self._running.pop(target.address)
+            )
+
+    async def _exchange(self, target: _Target) -> None:
+        stub = MeshStub(self._channels.find(target.address))
+        request = self._exchanger.make_request(target.zones)
+        _count('sent', 'exchange', request.ByteSize())
+        try:
+            reply = await stub.Exchange(request, timeout=_CALL_SECONDS)
+        except AioRpcError as error:
+            self._note_failure(target, error)
+            return
+        _count('received', 'reply', reply.ByteSize())
+        push = self._exchanger.take_reply(
+            reply, self._clock.read_monotonic(), self._clock.read_wall()
+        )
+        if push is not None:
+            await self._push(target, push)
+
+    async def _push(self, target: _Target, push: PushRequest) -> None:
+        stub = MeshStub(self._channels.find(target.address))
+        _count('sent', 'push', push.ByteSize())
+        try:
+            await stub.Push(push, timeout=_CALL_SECONDS)
+        except AioRpcError as error:
+            self._note_failure(target, error)
+
+    def _note_failure(self, target: _Target, error: AioRpcError) -> None:
+        MESH_MESSAGES.labels('failed', error.code().name.lower()).inc()
+        if error.code() is StatusCode.UNAVAILABLE:
+            self.store.membership.note_unreachable(
+                target.name, self._clock.read_monotonic()
+            )
+
+    async def _run_pushes(self) -> None:
+        pushing: set[Task[None]] = set()
+        while True:
+            await self._woken.wait()
+            await asyncio.sleep(_PUSH_DELAY_SECONDS)
+            self._woken.clear()
+            push = self._exchanger.make_push(self._urgent)
+            self._urgent = []
+            for peer in self._planner.choose_push_targets():
+                sent = _spawn(
+                    self._push(_Target(peer.address, peer.name), push)
+                )
+                pushing.add(sent)
+                sent.add_done_callback(pushing.discard)
+            await asyncio.sleep(_PUSH_PAUSE_SECONDS)
+
+    async def _close_channels(self) -> None:
+        used = self._planner.list_addresses()
+        await self._channels.keep(used | self._running.keys())
+
+
+def _spawn(work: Coroutine[Any, Any, None]) -> Task[None]:
+    return asyncio.get_running_loop().create_task(work)
+
+
+def _count(direction: str, message: str, size: int) -> None:
+    MESH_BYTES.labels(direction).inc(size)
+    MESH_MESSAGES.labels(direction, message).inc()
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -56,9 +56,25 @@
     'Bytes exchanged with other entry hosts.',
     ('direction',),
 )
+MESH_MESSAGES = Counter(
+    'monsoonwall_mesh_messages_total',
+    'Messages exchanged with other entry hosts, and those that failed.',
+    ('direction', 'message'),
+)
+MESH_PEERS = Gauge('monsoonwall_mesh_peers', 'Other entry hosts thought alive.')
 CONFIGURATION_NUMBER = Gauge(
     'monsoonwall_configuration_number', 'Number of the one in force.'
 )
 RUNNING_REQUESTS = Gauge(
     'monsoonwall_running_requests', 'Requests accepted and not ended.'
 )
+CLAIM_COMMITS = Counter(
+    'monsoonwall_claim_commits_total',
+    'Writes of claim journals, by how they ended.',
+    ('ending',),
+)
+CLAIMS = Counter(
+    'monsoonwall_claims_total',
+    'Claims asked for, by verdict.',
+    ('verdict',),
+)
