Decide on entering, routing, retrying and screening from shared knowledge

The stages so far took servers in turn, admitted everything and retried a fixed number of times. They are replaced by stages over pure decisions: cost of a server from prefix cache, corrected load, price and zone; limits and capacity cut into parts by published demand; a retry budget; crash records by content as facts of the board. The stages outlive a configuration, since what they learned of servers must not go with a patch.

--- /dev/null
+++ b/src/monsoonwall/decisions/admission.py
@@ -0,0 +1,144 @@
+"""Decide at once whether a call may enter, by limits and by load.
+
+Limits are stated for the whole fleet. Each host keeps to its part of them,
+cut by the demand that hosts publish, so no call asks a peer or the platform.
+
+Load is bounded by the number of calls that a service holds at a time rather
+than by a measured rate: nothing is remembered of an overload but the calls
+that it left running, so entering is free again as soon as they end.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from math import log
+from typing import Final
+
+from monsoonwall.decisions.fairness import divide_fairly
+
+_BURST_SECONDS: Final = 1.0
+_QUEUE_RATIO: Final = 1.25
+_BATCH_RATIO: Final = 0.9
+_FAIR_RATIO: Final = 0.6
+_MIN_SLOTS: Final = 2
+_DEMAND_SECONDS: Final = 5.0
+_DEMAND_HEADROOM: Final = 1.5
+_MIN_RETRY_SECONDS: Final = 0.5
+_MAX_RETRY_SECONDS: Final = 15.0
+
+
+class EntryVerdict(StrEnum):
+    """Tell whether a call may enter, or what stands against it."""
+
+    admitted = 'admitted'
+    full = 'full'
+    over_share = 'over_share'
+
+
+@dataclass(frozen=True)
+class ServiceSlots:
+    """Describe what this host holds of a service.
+
+    ``capacity`` counts the calls that all live servers run at a time and
+    ``part`` is this host's part of it. By workspace: the calls ``held``, how
+    many it would hold if none were refused (``wanted``), and its weight.
+    """
+
+    capacity: float
+    part: float
+    held: Mapping[str, int]
+    wanted: Mapping[str, float]
+    weights: Mapping[str, float]
+
+
+class TokenBucket:
+    """Limit a rate; the rate may change between calls."""
+
+    def __init__(self) -> None:
+        self._level: float | None = None
+        self._at: float = 0
+
+    def measure_wait(self, amount: float, rate: float, now: float) -> float:
+        """Return the seconds until ``amount`` may be taken; 0 is now."""
+        level = self._fill(rate, now)
+        burst = _measure_burst(rate)
+        # More than a whole burst may be taken, as a debt, from a full one.
+        wanted = min(amount, burst)
+        if level >= wanted:
+            return 0
+        return (wanted - level) / rate if rate > 0 else _MAX_RETRY_SECONDS
+
+    def take(self, amount: float, rate: float, now: float) -> None:
+        """Take an amount that ``measure_wait`` allowed."""
+        self._level = self._fill(rate, now) - amount
+
+    def _fill(self, rate: float, now: float) -> float:
+        burst = _measure_burst(rate)
+        if self._level is None:
+            self._level = burst
+        else:
+            gained = rate * max(0, now - self._at)
+            self._level = min(burst, self._level + gained)
+        self._at = now
+        return self._level
+
+
+class RateMeter:
+    """Measure a rate, weighing the last seconds most."""
+
+    def __init__(self) -> None:
+        self._rate: float = 0
+        self._at: float = 0
+
+    def add(self, amount: float, now: float) -> None:
+        """Count an amount."""
+        # The factor makes a steady flow read as its own rate.
+        self._rate = self.read(now) + amount * log(2) / _DEMAND_SECONDS
+        self._at = now
+
+    def read(self, now: float) -> float:
+        """Return the rate, a second."""
+        idle = max(0, now - self._at)
+        return self._rate * 2 ** (-idle / _DEMAND_SECONDS)
+
+
+def decide_entry(
+    slots: ServiceSlots, workspace: str, urgent: bool
+) -> EntryVerdict:
+    """Return whether one more call of a workspace may enter."""
+    limit = max(_MIN_SLOTS, slots.capacity * _QUEUE_RATIO * slots.part)
+    held = sum(slots.held.values())
+    # What is kept free of batch work lets short questions in at once.
+    bound = limit if urgent else limit * _BATCH_RATIO
+    if held + 1 > bound:
+        return EntryVerdict.full
+    if held + 1 <= limit * _FAIR_RATIO:
+        return EntryVerdict.admitted
+    parts = divide_fairly(
+        bound,
+        {name: _pad_demand(calls) for name, calls in slots.wanted.items()},
+        slots.weights,
+    )
+    mine = slots.held.get(workspace, 0) + 1
+    if mine > max(1, parts.get(workspace, 1)):
+        return EntryVerdict.over_share
+    return EntryVerdict.admitted
+
+
+def suggest_return(wait: float, spread: float) -> float:
+    """Return after how many seconds to come back.
+
+    ``spread``, from 0 to 1, differs by request and keeps the callers that
+    were refused together from coming back together.
+    """
+    bounded = min(_MAX_RETRY_SECONDS, max(_MIN_RETRY_SECONDS, wait))
+    return bounded * (1 + spread)
+
+
+def _pad_demand(calls: float) -> float:
+    # Measured demand is noisy; what is within it must not be refused.
+    return _DEMAND_HEADROOM * calls + 1
+
+
+def _measure_burst(rate: float) -> float:
+    return max(1, rate * _BURST_SECONDS)
--- /dev/null
+++ b/src/monsoonwall/decisions/polling.py
@@ -0,0 +1,35 @@
+"""Divide the polling of backend servers among the entry hosts."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from monsoonwall.decisions.hashing import hash_text
+
+_POLLERS: Final = 2
+_MIN_PERIOD_SECONDS: Final = 0.5
+_MAX_PERIOD_SECONDS: Final = 5.0
+_RECEIVED_BYTES_PER_SECOND: Final = 8000
+
+
+def choose_pollers(server: str, hosts: Iterable[str]) -> list[str]:
+    """Return the hosts that poll a server.
+
+    Hosts that know the same others agree without talking; when one goes,
+    only its servers change hands.
+    """
+    ranked = sorted(
+        hosts,
+        key=lambda host: hash_text(f'{server}/{host}'),
+        reverse=True,
+    )
+    return ranked[:_POLLERS]
+
+
+def stretch_period(message_bytes: int, hosts: int) -> float:
+    """Return the seconds between messages of each host.
+
+    Every host receives the messages of all, so the period grows with their
+    number until what a host receives fits its bytes a second.
+    """
+    fitting = message_bytes * hosts / _RECEIVED_BYTES_PER_SECOND
+    return min(_MAX_PERIOD_SECONDS, max(_MIN_PERIOD_SECONDS, fitting))
--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -10,6 +10,7 @@
 from monsoonwall.clocks import Clock
 from monsoonwall.configuration.model import Configuration
 from monsoonwall.entry.configuring import ConfigurationTask
+from monsoonwall.entry.controls import RequestControls
 from monsoonwall.entry.meshing import Mesh
 from monsoonwall.entry.requests import RequestTasks
 from monsoonwall.entry.state import HostState, Serving
@@ -19,11 +20,7 @@
 from monsoonwall.pipeline.acceptance import Acceptance
 from monsoonwall.pipeline.baseline import (
     ActiveVersionChoice,
-    FixedRetryRule,
-    OpenAdmission,
     OpenClaiming,
-    OpenScreening,
-    RoundRobinRouting,
 )
 from monsoonwall.pipeline.dispatch import Dispatcher, Stages
 from monsoonwall.platform.http_objects import HttpObjectStore
@@ -45,6 +42,9 @@
         self._stopping = asyncio.Event()
         store = HttpObjectStore(settings.platform_address, self._client, clock)
         self._mesh = Mesh(settings, clock)
+        self._controls = RequestControls(
+            settings, self._mesh, self._pool, clock
+        )
         self._configuring = ConfigurationTask(store, clock, self.adopt)
 
     async def run(self) -> None:
@@ -55,26 +55,29 @@
         await self._mesh.start()
         server = self._listen()
         configuring = asyncio.create_task(self._configuring.run())
+        controlling = asyncio.create_task(self._controls.run())
         _log.info('Entry host started.', address=self._settings.listen_address)
         await self._stopping.wait()
         await self._shut_down(server)
+        controlling.cancel()
         configuring.cancel()
 
     def adopt(self, configuration: Configuration) -> None:
         """Put a configuration in force for requests accepted from now on."""
         self._pool.adopt(configuration)
+        self._controls.adopt(configuration)
         stages = Stages(
             ActiveVersionChoice(configuration),
-            RoundRobinRouting(configuration),
-            FixedRetryRule(),
+            self._controls.routing,
+            self._controls.retries,
             OpenClaiming(),
-            (),
+            self._controls.observers,
         )
         self._state.serving = Serving(
             configuration,
             Acceptance(configuration, self._settings.host_name),
-            OpenAdmission(),
-            OpenScreening(),
+            self._controls.admission,
+            self._controls.screening,
             Dispatcher(stages, self._pool, self._clock),
         )
         CONFIGURATION_NUMBER.set(configuration.number)
--- /dev/null
+++ b/src/monsoonwall/entry/loads.py
@@ -0,0 +1,222 @@
+"""Poll engines, and exchange loads and demand with the other hosts.
+
+Each engine is polled by two entry hosts of its zone. What a host learned,
+what it dispatched and what it was asked for go out as one entry of the board.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Final
+
+from msgspec import DecodeError, Struct, ValidationError, msgpack
+from returns.pipeline import is_successful
+
+from monsoonwall.backends.engine import LoadReport, ModelEngine
+from monsoonwall.backends.pool import BackendPool
+from monsoonwall.clocks import Clock
+from monsoonwall.decisions.cache import PrefixChange
+from monsoonwall.decisions.load import Report, ServerCounts
+from monsoonwall.decisions.polling import choose_pollers, stretch_period
+from monsoonwall.entry.liveness import LivenessTask
+from monsoonwall.logs import make_logger
+from monsoonwall.mesh.board import Board, Entry
+from monsoonwall.mesh.peers import Peers
+from monsoonwall.pipeline.admission import DemandTable, HostDemand
+from monsoonwall.pipeline.knowledge import ServerKnowledge
+from monsoonwall.pipeline.routing import WeighedRouting
+
+LOAD_KIND: Final = 'load'
+_ROUND_SECONDS: Final = 0.5
+_POLL_TIMEOUT_SECONDS: Final = 1.0
+_MAX_CHANGES: Final = 64
+
+_log = make_logger('loads')
+
+
+class PolledServer(Struct, frozen=True, array_like=True):
+    """Tell what a poll of a server gave; lists keep the message small."""
+
+    server: str
+    in_flight: int
+    capacity: int
+    measured_wall: float
+    changes: tuple[PrefixChange, ...]
+
+
+class HostLoad(Struct, frozen=True, array_like=True):
+    """Tell what one host polled, counted and was asked for."""
+
+    published_wall: float
+    polled: tuple[PolledServer, ...]
+    counts: dict[str, ServerCounts]
+    demand: HostDemand
+
+
+@dataclass(frozen=True)
+class LoadParts:
+    """Hold what the load task works with."""
+
+    knowledge: ServerKnowledge
+    demands: DemandTable
+    routing: WeighedRouting
+    liveness: LivenessTask
+    pool: BackendPool
+    board: Board
+    peers: Peers
+
+
+class LoadTask:
+    """Keep what this host knows of loads current."""
+
+    def __init__(
+        self, host_name: str, zone: str, parts: LoadParts, clock: Clock
+    ) -> None:
+        self._host_name = host_name
+        self._zone = zone
+        self._parts = parts
+        self._clock = clock
+        self._arrived = parts.board.subscribe(LOAD_KIND)
+        self._polled: dict[str, PolledServer] = {}
+        self._publish_at: float = 0
+
+    async def run(self) -> None:
+        """Poll and publish until cancelled."""
+        while True:
+            try:
+                await self._run_round()
+            except Exception as error:
+                # Routing goes on with older figures; polling must not stop.
+                _log.opt(exception=error).error('Load round failed.')
+            await asyncio.sleep(_ROUND_SECONDS)
+
+    async def _run_round(self) -> None:
+        polls = [
+            self._poll(name, engine)
+            for name, engine in self._parts.pool.list_engines().items()
+            if self._is_poller(name)
+        ]
+        await asyncio.gather(*polls)
+        self._take_peers()
+        now = self._clock.read_monotonic()
+        self._parts.routing.sweep(now)
+        if now >= self._publish_at:
+            self._publish(now)
+
+    def _is_poller(self, server: str) -> bool:
+        servers = self._parts.knowledge.configuration.backend_servers
+        described = servers.get(server)
+        if described is None:
+            return False
+        zones = {
+            peer.name: peer.zone
+            for peer in self._parts.peers.list_peers()
+            if not peer.leaving
+        }
+        zones[self._host_name] = self._zone
+        near = [name for name, zone in zones.items() if zone == described.zone]
+        # A zone without entry hosts is polled from the others.
+        return self._host_name in choose_pollers(server, near or list(zones))
+
+    async def _poll(self, name: str, engine: ModelEngine) -> None:
+        try:
+            async with asyncio.timeout(_POLL_TIMEOUT_SECONDS):
+                await self._read(name, engine)
+        except TimeoutError:
+            self._note_failure(name)
+
+    async def _read(self, name: str, engine: ModelEngine) -> None:
+        read = await engine.read_load()
+        if not is_successful(read):
+            self._note_failure(name)
+            return
+        report = read.unwrap()
+        self._parts.knowledge.availability.note_answer(name)
+        if report.leaving:
+            self._parts.liveness.report_leaving(name)
+        changes = await self._read_changes(name, engine)
+        self._polled[name] = _describe_poll(name, report, changes)
+        self._take_polled(self._polled[name])
+
+    async def _read_changes(
+        self, name: str, engine: ModelEngine
+    ) -> tuple[PrefixChange, ...]:
+        after = self._parts.knowledge.caches.find(name).number
+        read = await engine.read_cache_events(after)
+        if not is_successful(read):
+            return ()
+        return tuple(
+            PrefixChange(event.number, event.stored, event.prefix_key)
+            for event in read.unwrap()
+        )
+
+    def _note_failure(self, name: str) -> None:
+        self._polled.pop(name, None)
+        self._parts.knowledge.availability.note_failure(
+            name, self._clock.read_monotonic()
+        )
+
+    def _take_polled(self, polled: PolledServer) -> None:
+        knowledge = self._parts.knowledge
+        knowledge.loads.find(polled.server).take_report(
+            Report(
+                polled.in_flight,
+                polled.capacity,
+                self._convert_wall(polled.measured_wall),
+            )
+        )
+        knowledge.caches.find(polled.server).take_changes(polled.changes)
+
+    def _take_peers(self) -> None:
+        while not self._arrived.empty():
+            arrived = self._arrived.get_nowait()
+            if isinstance(arrived, Entry) and arrived.origin != self._host_name:
+                self._take_peer(arrived)
+
+    def _take_peer(self, entry: Entry) -> None:
+        try:
+            load = msgpack.decode(entry.payload, type=HostLoad)
+        except (DecodeError, ValidationError) as error:
+            _log.error('Load entry is damaged.', error=str(error))
+            return
+        known = self._parts.knowledge.configuration.backend_servers
+        for polled in load.polled:
+            if polled.server in known:
+                self._take_polled(polled)
+        at = self._convert_wall(load.published_wall)
+        for server, counts in load.counts.items():
+            if server in known:
+                track = self._parts.knowledge.loads.find(server)
+                track.take_peer(entry.origin, counts, at)
+        self._parts.demands.take_peer(
+            entry.origin, load.demand, self._clock.read_monotonic()
+        )
+
+    def _publish(self, now: float) -> None:
+        payload = msgpack.encode(
+            HostLoad(
+                self._clock.read_wall(),
+                tuple(self._polled.values()),
+                dict(self._parts.knowledge.loads.collect_counts()),
+                self._parts.demands.collect_own(now),
+            )
+        )
+        self._polled.clear()
+        self._parts.board.publish_entry(LOAD_KIND, '', payload)
+        hosts = 1 + len(self._parts.peers.list_peers())
+        self._publish_at = now + stretch_period(len(payload), hosts)
+
+    def _convert_wall(self, wall: float) -> float:
+        age = max(0, self._clock.read_wall() - wall)
+        return self._clock.read_monotonic() - age
+
+
+def _describe_poll(
+    name: str, report: LoadReport, changes: tuple[PrefixChange, ...]
+) -> PolledServer:
+    return PolledServer(
+        name,
+        report.running + report.waiting,
+        report.capacity,
+        report.measured_wall,
+        changes[-_MAX_CHANGES:],
+    )
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -58,3 +58,27 @@
 RUNNING_REQUESTS = Gauge(
     'monsoonwall_running_requests', 'Requests accepted and not ended.'
 )
+ENTRY_VERDICTS = Counter(
+    'monsoonwall_entry_verdicts_total',
+    'Calls that asked to enter, by service and verdict.',
+    ('service', 'verdict'),
+)
+RETRY_VERDICTS = Counter(
+    'monsoonwall_retry_verdicts_total',
+    'Decisions on failed attempts, by how they ended and the verdict.',
+    ('ending', 'verdict'),
+)
+SUSPECTS = Counter(
+    'monsoonwall_screened_requests_total',
+    'Requests screened for crashes, by judgement.',
+    ('judgement',),
+)
+BACKEND_CRASHES = Counter(
+    'monsoonwall_broken_attempts_total',
+    'Broken attempts looked into, by what the backend server did.',
+    ('finding',),
+)
+LEAVING_SERVERS = Gauge(
+    'monsoonwall_leaving_backend_servers',
+    'Backend servers that get no new work because they are leaving.',
+)
--- /dev/null
+++ b/src/monsoonwall/pipeline/knowledge.py
@@ -0,0 +1,112 @@
+"""Hold what this host knows of the backend servers.
+
+Routing, admission and the tasks that poll and listen share one such object;
+all run in one event loop, and none waits while it uses it.
+"""
+
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import Final
+
+from cachetools import LRUCache
+
+from monsoonwall.configuration.model import Configuration
+from monsoonwall.decisions.admission import RateMeter
+from monsoonwall.decisions.availability import Availability
+from monsoonwall.decisions.cache import CacheBook, make_prefix_keys
+from monsoonwall.decisions.load import LoadBook
+from monsoonwall.pipeline.messages import Call
+
+_MAX_PROMPTS: Final = 512
+_CAPACITY_SECONDS: Final = 0.25
+_MIN_SHARE: Final = 0.02
+
+
+class ServerKnowledge:
+    """Hold loads, caches and availability under one configuration."""
+
+    def __init__(self) -> None:
+        self.loads = LoadBook()
+        self.caches = CacheBook()
+        self.availability = Availability()
+        self._configuration = Configuration(0)
+        self._by_version: dict[tuple[str, str], list[str]] = {}
+        self._keys: LRUCache[str, tuple[str, ...]] = LRUCache(_MAX_PROMPTS)
+        self._dispatches: dict[str, dict[str, RateMeter]] = {}
+        self._capacities: dict[str, tuple[float, float]] = {}
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self._configuration
+
+    def adopt(self, configuration: Configuration) -> None:
+        """Keep what is known of the servers that stay."""
+        self._configuration = configuration
+        by_version = defaultdict(list)
+        for name, server in configuration.backend_servers.items():
+            by_version[server.service, server.version].append(name)
+        self._by_version = dict(by_version)
+        self._capacities.clear()
+        self.loads.adopt(configuration.backend_servers)
+        self.caches.adopt(configuration.backend_servers)
+
+    def list_servers(self, service: str, version: str) -> list[str]:
+        """Return the servers of a version, in the same order anywhere."""
+        return self._by_version.get((service, version), [])
+
+    def find_keys(self, call: Call) -> tuple[str, ...]:
+        """Return the prefix keys of a call's prompt."""
+        keys = self._keys.get(call.content_key)
+        if keys is None:
+            keys = make_prefix_keys(call.prompt)
+            self._keys[call.content_key] = keys
+        return keys
+
+    def note_version(self, service: str, version: str, now: float) -> None:
+        """Count a dispatch to a version."""
+        meters = self._dispatches.setdefault(service, {})
+        meters.setdefault(version, RateMeter()).add(1, now)
+
+    def measure_capacity(self, service: str, now: float) -> float:
+        """Return the calls that a service can run at a time.
+
+        While traffic moves between versions each can run only its share, so
+        the version with the least capacity for its share decides.
+        """
+        known = self._capacities.get(service)
+        if known is not None and now < known[0]:
+            return known[1]
+        capacity = self._compute_capacity(service, now)
+        self._capacities[service] = (now + _CAPACITY_SECONDS, capacity)
+        return capacity
+
+    def _compute_capacity(self, service: str, now: float) -> float:
+        by_version = {
+            version: self._sum_capacity(names, now)
+            for (name, version), names in self._by_version.items()
+            if name == service
+        }
+        shares = self._measure_shares(service, now)
+        bounds = [
+            by_version.get(version, 0) / share
+            for version, share in shares.items()
+            if share >= _MIN_SHARE
+        ]
+        return min((sum(by_version.values()), *bounds))
+
+    def _measure_shares(self, service: str, now: float) -> Mapping[str, float]:
+        rates = {
+            version: meter.read(now)
+            for version, meter in self._dispatches.get(service, {}).items()
+        }
+        total = sum(rates.values())
+        if total <= 0:
+            return {}
+        return {version: rate / total for version, rate in rates.items()}
+
+    def _sum_capacity(self, names: list[str], now: float) -> float:
+        usable = self.availability.keep_usable(names, now)
+        return sum(
+            self.loads.find(name).estimate(now).capacity for name in usable
+        )
--- /dev/null
+++ b/src/monsoonwall/pipeline/retrying.py
@@ -0,0 +1,100 @@
+"""Retry failed attempts within a budget for each service."""
+
+from types import MappingProxyType
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from monsoonwall.decisions.hashing import spread_text
+from monsoonwall.decisions.retries import (
+    FailedAttempt,
+    RetryBudget,
+    RetryVerdict,
+    plan_retry,
+)
+from monsoonwall.decisions.suspects import Suspicion
+from monsoonwall.metrics import RETRY_VERDICTS
+from monsoonwall.pipeline.messages import (
+    AttemptEnding,
+    AttemptFailure,
+    AttemptRecord,
+    Call,
+    Effect,
+    Refusal,
+    RefusalReason,
+)
+from monsoonwall.pipeline.screening import SuspectScreening
+from monsoonwall.pipeline.stages import Observer, RetryRule
+
+# A suspect waits until its server was probed and peers had time to tell.
+_PROBE_SECONDS: Final = 1.2
+_RETRY_AFTER_SECONDS: Final = 2.0
+_REASONS: Final = MappingProxyType(
+    {
+        RetryVerdict.not_repeatable: RefusalReason.outcome_unknown,
+        RetryVerdict.deadline: RefusalReason.deadline_passed,
+        RetryVerdict.attempts: RefusalReason.no_server,
+        RetryVerdict.budget: RefusalReason.retry_budget,
+        RetryVerdict.cancelled: RefusalReason.outcome_unknown,
+    }
+)
+_FINAL_VERDICTS: Final = frozenset(
+    (RetryVerdict.not_repeatable, RetryVerdict.cancelled)
+)
+
+
+class BudgetedRetryRule(RetryRule, Observer):
+    """Allow retries as far as successes have earned them."""
+
+    def __init__(self, screening: SuspectScreening) -> None:
+        self._screening = screening
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def decide_retry(
+        self, call: Call, attempt: int, failure: AttemptFailure, now: float
+    ) -> Result[float, Refusal]:
+        """Return the time of the next attempt, or the final refusal."""
+        failed = FailedAttempt(
+            failure.ending,
+            attempt,
+            call.idempotent or not failure.may_have_run,
+            call.deadline,
+            spread_text(f'{call.request_id}/{attempt}'),
+        )
+        plan = plan_retry(failed, self._find_budget(call.service), now)
+        RETRY_VERDICTS.labels(failure.ending, plan.verdict).inc()
+        if plan.verdict is RetryVerdict.allowed:
+            return Success(
+                max(plan.begin, self._await_probe(call, failure, now))
+            )
+        return Failure(_refuse(call, attempt, failure, plan.verdict))
+
+    def observe(self, record: AttemptRecord) -> None:
+        """Take in one ended attempt."""
+        if record.ending is AttemptEnding.completed:
+            self._find_budget(record.call.service).note_success()
+
+    def _find_budget(self, service: str) -> RetryBudget:
+        return self._budgets.setdefault(service, RetryBudget())
+
+    def _await_probe(
+        self, call: Call, failure: AttemptFailure, now: float
+    ) -> float:
+        if failure.ending is not AttemptEnding.crashed:
+            return now
+        suspicion = self._screening.judge(call.content_key)
+        return now if suspicion is Suspicion.none else now + _PROBE_SECONDS
+
+
+def _refuse(
+    call: Call, attempt: int, failure: AttemptFailure, verdict: RetryVerdict
+) -> Refusal:
+    # Earlier attempts of an idempotent call may have run; a call that is not
+    # idempotent gets another attempt only if none before it did.
+    ran = failure.may_have_run or (call.idempotent and attempt > 1)
+    return Refusal(
+        _REASONS[verdict],
+        Effect.unknown if ran else Effect.not_run,
+        f'attempt {attempt} ended as {failure.ending}; no retry: {verdict}',
+        None if verdict in _FINAL_VERDICTS else _RETRY_AFTER_SECONDS,
+    )
--- /dev/null
+++ b/src/monsoonwall/pipeline/routing.py
@@ -0,0 +1,227 @@
+"""Choose backend servers by cost, from what this host knows of them."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from monsoonwall.configuration.model import BackendServer
+from monsoonwall.decisions.hashing import hash_text
+from monsoonwall.decisions.load import Work
+from monsoonwall.decisions.routing import (
+    Candidate,
+    Need,
+    Weights,
+    choose_candidate,
+    choose_isolated,
+    shorten_list,
+)
+from monsoonwall.decisions.suspects import Suspicion
+from monsoonwall.pipeline.knowledge import ServerKnowledge
+from monsoonwall.pipeline.messages import (
+    AttemptEnding,
+    AttemptRecord,
+    Call,
+    Effect,
+    Priority,
+    Refusal,
+    RefusalReason,
+    ServerChoice,
+)
+from monsoonwall.pipeline.screening import SuspectScreening
+from monsoonwall.pipeline.stages import Observer, ServerRouting
+
+_RETRY_AFTER_SECONDS: Final = 1.0
+_OVERDUE_SECONDS: Final = 5.0
+_DEFAULT_TARGET_SECONDS: Final = 0.44
+_FAILED_ENDINGS: Final = frozenset(
+    (
+        AttemptEnding.crashed,
+        AttemptEnding.unreachable,
+        AttemptEnding.cut,
+    )
+)
+
+
+class WeighedRouting(ServerRouting, Observer):
+    """Choose the server with the least cost and learn from its answers."""
+
+    def __init__(
+        self,
+        knowledge: ServerKnowledge,
+        screening: SuspectScreening,
+        zone: str,
+        weights: Weights | None = None,
+    ) -> None:
+        self._knowledge = knowledge
+        self._screening = screening
+        self._zone = zone
+        self._weights = weights or Weights()
+        self._open: dict[tuple[str, str], _OpenAttempt] = {}
+
+    def choose_server(
+        self,
+        call: Call,
+        version: str,
+        excluded: frozenset[str],
+        isolated: bool,
+        now: float,
+    ) -> Result[ServerChoice, Refusal]:
+        """Return the chosen server, or why there is none."""
+        suspicion = self._screening.judge(call.content_key)
+        if suspicion is Suspicion.convicted:
+            effect = _tell_effect(call, excluded)
+            return Failure(self._screening.refuse(call, effect))
+        apart = isolated or suspicion is Suspicion.suspect
+        candidates = self._list_candidates(call, version, excluded, now)
+        if not candidates:
+            return Failure(_refuse_no_server(call, excluded))
+        need = self._describe_need(call)
+        chosen = (
+            choose_isolated(candidates, need)
+            if apart
+            else choose_candidate(candidates, need, self._weights)
+        )
+        return Success(ServerChoice(chosen.server, chosen.zone, version, apart))
+
+    def note_dispatch(
+        self, call: Call, choice: ServerChoice, now: float
+    ) -> None:
+        """Count work sent to a server before its load report shows it."""
+        knowledge = self._knowledge
+        keys = knowledge.find_keys(call)
+        cache = knowledge.caches.find(choice.server)
+        guessed = cache.estimate_cached(keys)
+        cache.note_dispatch(keys)
+        work = Work(
+            max(0, _count_prompt(call) - int(guessed)),
+            call.priority is Priority.interactive,
+            choice.isolated,
+        )
+        knowledge.loads.find(choice.server).note_start(work, now)
+        knowledge.note_version(call.service, choice.version, now)
+        # A moved call is open at two servers for a moment.
+        key = (call.request_id, choice.server)
+        self._close(key, now)
+        self._open[key] = _OpenAttempt(
+            work, guessed, call.deadline + _OVERDUE_SECONDS
+        )
+
+    def observe(self, record: AttemptRecord) -> None:
+        """Take in one ended attempt."""
+        server = record.choice.server
+        opened = self._close((record.call.request_id, server), record.ended)
+        availability = self._knowledge.availability
+        if record.ending in _FAILED_ENDINGS:
+            availability.note_failure(server, record.ended)
+        elif record.ending is AttemptEnding.completed:
+            availability.note_answer(server)
+        if record.first_token_at is None:
+            return
+        keys = self._knowledge.find_keys(record.call)
+        self._knowledge.caches.find(server).learn(
+            keys, opened.guessed if opened else 0, record.cached_tokens
+        )
+        if record.ending is AttemptEnding.completed:
+            self._knowledge.loads.find(server).learn_speed(
+                record.prompt_tokens - record.cached_tokens,
+                record.first_token_at - record.started,
+                record.ended - record.started,
+            )
+
+    def sweep(self, now: float) -> None:
+        """Give up attempts whose end was never reported."""
+        overdue = [
+            key for key, opened in self._open.items() if opened.deadline <= now
+        ]
+        for key in overdue:
+            self._close(key, now)
+
+    def _close(self, key: tuple[str, str], now: float) -> '_OpenAttempt | None':
+        opened = self._open.pop(key, None)
+        if opened is not None:
+            self._knowledge.loads.find(key[1]).note_end(opened.work, now)
+        return opened
+
+    def _list_candidates(
+        self, call: Call, version: str, excluded: frozenset[str], now: float
+    ) -> list[Candidate]:
+        knowledge = self._knowledge
+        usable = knowledge.availability.keep_usable(
+            (
+                name
+                for name in knowledge.list_servers(call.service, version)
+                if name not in excluded
+            ),
+            now,
+        )
+        keys = knowledge.find_keys(call)
+        affinity = keys[0] if keys else call.request_id
+        servers = knowledge.configuration.backend_servers
+        return [
+            self._describe_candidate(name, servers[name], keys, now)
+            for name in shorten_list(usable, _make_seed(call), affinity)
+        ]
+
+    def _describe_candidate(
+        self,
+        name: str,
+        server: BackendServer,
+        keys: tuple[str, ...],
+        now: float,
+    ) -> Candidate:
+        return Candidate(
+            name,
+            server.zone,
+            server.price_per_hour,
+            self._knowledge.caches.find(name).estimate_cached(keys),
+            self._knowledge.loads.find(name).estimate(now),
+        )
+
+    def _describe_need(self, call: Call) -> Need:
+        route = self._knowledge.configuration.routes.get(call.route)
+        keys = self._knowledge.find_keys(call)
+        return Need(
+            _count_prompt(call),
+            call.priority is Priority.interactive,
+            route.latency_target.first_token_seconds
+            if route
+            else _DEFAULT_TARGET_SECONDS,
+            self._zone,
+            _make_seed(call),
+            keys[0] if keys else call.request_id,
+        )
+
+
+@dataclass(frozen=True)
+class _OpenAttempt:
+    """Remember what an attempt counted until it ends."""
+
+    work: Work
+    guessed: float
+    deadline: float
+
+
+def _count_prompt(call: Call) -> int:
+    return len(call.prompt.split())
+
+
+def _make_seed(call: Call) -> int:
+    return hash_text(call.request_id)
+
+
+def _tell_effect(call: Call, excluded: frozenset[str]) -> Effect:
+    # A call that is not idempotent comes here again only after attempts that
+    # certainly did not run; any other may have run on an excluded server.
+    if excluded and call.idempotent:
+        return Effect.unknown
+    return Effect.not_run
+
+
+def _refuse_no_server(call: Call, excluded: frozenset[str]) -> Refusal:
+    return Refusal(
+        RefusalReason.no_server,
+        _tell_effect(call, excluded),
+        'no backend server of this version can take the request now',
+        _RETRY_AFTER_SECONDS,
+    )
--- /dev/null
+++ b/src/monsoonwall/pipeline/screening.py
@@ -0,0 +1,229 @@
+"""Keep requests apart that may have crashed a backend server."""
+
+from asyncio import Queue
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from msgspec import DecodeError, ValidationError, msgpack
+from returns.result import Failure, Result, Success
+
+from monsoonwall.clocks import Clock
+from monsoonwall.decisions.suspects import (
+    CONVICTION_SECONDS,
+    SUSPICION_SECONDS,
+    ClearRecord,
+    CrashRecord,
+    Findings,
+    Suspicion,
+    judge_content,
+)
+from monsoonwall.logs import make_logger
+from monsoonwall.mesh.board import Board, Entry, Fact
+from monsoonwall.metrics import SUSPECTS
+from monsoonwall.pipeline.messages import (
+    AttemptEnding,
+    AttemptRecord,
+    Call,
+    Effect,
+    Refusal,
+    RefusalReason,
+)
+from monsoonwall.pipeline.stages import Observer, Screening
+
+CRASH_KIND: Final = 'crash'
+ISOLATED_CRASH_KIND: Final = 'isolated_crash'
+CLEAR_KIND: Final = 'crash_cleared'
+_KINDS: Final = (
+    (CRASH_KIND, CrashRecord),
+    (ISOLATED_CRASH_KIND, CrashRecord),
+    (CLEAR_KIND, ClearRecord),
+)
+# A question without an answer lapses; probes end well before.
+_PENDING_SECONDS: Final = 3.0
+_SWEEP_SECONDS: Final = 30.0
+
+_log = make_logger('suspects')
+
+
+@dataclass(frozen=True)
+class CrashQuestion:
+    """Ask whether a server crashed when this attempt broke."""
+
+    record: CrashRecord
+    asked: float
+
+
+class RecordTable:
+    """Follow the facts of one kind, without waiting for them."""
+
+    def __init__(self, board: Board, kind: str, record_type: type) -> None:
+        self.records: dict[str, CrashRecord | ClearRecord] = {}
+        self._swept_wall: float = 0
+        self._decoder = msgpack.Decoder(record_type)
+        # Subscribed first, so that nothing falls between.
+        self._arrived: Queue[Entry | Fact] = board.subscribe(kind)
+        for fact in board.read_facts(kind):
+            self.take(fact)
+
+    def refresh(self, now_wall: float) -> None:
+        """Take in what has arrived and drop what has expired."""
+        while not self._arrived.empty():
+            self.take(self._arrived.get_nowait())
+        if now_wall >= self._swept_wall + _SWEEP_SECONDS:
+            self._swept_wall = now_wall
+            self._sweep(now_wall - CONVICTION_SECONDS)
+
+    def take(self, fact: Entry | Fact) -> None:
+        """Keep a record unless a later one of its content is known."""
+        try:
+            record = self._decoder.decode(fact.payload)
+        except (DecodeError, ValidationError) as error:
+            _log.error('Crash record is damaged.', error=str(error))
+            return
+        known = self.records.get(fact.key)
+        if known is None or _read_order(record) > _read_order(known):
+            self.records[fact.key] = record
+
+    def _sweep(self, before_wall: float) -> None:
+        self.records = {
+            key: record
+            for key, record in self.records.items()
+            if _read_order(record) > before_wall
+        }
+
+
+class SuspectScreening(Screening, Observer):
+    """Judge requests by the crash records of all hosts."""
+
+    def __init__(self, board: Board, clock: Clock) -> None:
+        self.questions: Queue[CrashQuestion] = Queue()
+        self._board = board
+        self._clock = clock
+        self._tables = {
+            kind: RecordTable(board, kind, record_type)
+            for kind, record_type in _KINDS
+        }
+        self._pending: dict[str, CrashQuestion] = {}
+
+    def screen(self, call: Call, now: float) -> Result[bool, Refusal]:
+        """Return whether the call must run apart, or why it is refused."""
+        suspicion = self.judge(call.content_key)
+        SUSPECTS.labels(suspicion).inc()
+        if suspicion is Suspicion.convicted:
+            return Failure(self.refuse(call, Effect.not_run))
+        return Success(suspicion is Suspicion.suspect)
+
+    def judge(self, content_key: str) -> Suspicion:
+        """Return how a request of this content may run now."""
+        now_wall = self._clock.read_wall()
+        findings = self._find_findings(now_wall)
+        judged = judge_content(findings, content_key, now_wall)
+        if judged is Suspicion.none and self._is_pending(content_key):
+            return Suspicion.suspect
+        return judged
+
+    def refuse(self, call: Call, effect: Effect) -> Refusal:
+        """Return the refusal of a convicted call."""
+        table = self._tables[ISOLATED_CRASH_KIND].records
+        record = table.get(call.content_key)
+        crashed_wall = getattr(record, 'crashed_wall', 0)
+        remaining = crashed_wall + CONVICTION_SECONDS - self._clock.read_wall()
+        return Refusal(
+            RefusalReason.crashing_request,
+            effect,
+            'backend servers crashed while they ran this request; '
+            'change it, or report it to the operators',
+            max(1, remaining),
+        )
+
+    def observe(self, record: AttemptRecord) -> None:
+        """Ask about a broken attempt; clear a suspect that completed."""
+        content_key = record.call.content_key
+        now = self._clock.read_monotonic()
+        started_wall = self._clock.read_wall() - (now - record.started)
+        if record.ending is AttemptEnding.crashed:
+            self._ask(record, started_wall, now)
+        elif (
+            record.ending is AttemptEnding.completed and record.choice.isolated
+        ):
+            self._publish(
+                CLEAR_KIND,
+                content_key,
+                ClearRecord(started_wall, content_key),
+                SUSPICION_SECONDS,
+            )
+
+    def settle(self, question: CrashQuestion, crashed: bool) -> None:
+        """Take the answer to a question; publish a crash."""
+        record = question.record
+        if self._pending.get(record.content_key) is question:
+            self._pending.pop(record.content_key)
+        if not crashed:
+            return
+        kind = ISOLATED_CRASH_KIND if record.isolated else CRASH_KIND
+        keep = CONVICTION_SECONDS if record.isolated else SUSPICION_SECONDS
+        self._publish(kind, record.content_key, record, keep)
+        _log.warning(
+            'Backend server crashed under a request.',
+            server=record.server,
+            content_key=record.content_key,
+            isolated=record.isolated,
+        )
+
+    def _ask(
+        self, record: AttemptRecord, started_wall: float, now: float
+    ) -> None:
+        question = CrashQuestion(
+            CrashRecord(
+                self._clock.read_wall(),
+                started_wall,
+                record.choice.server,
+                record.call.content_key,
+                record.choice.isolated,
+            ),
+            now,
+        )
+        self._pending[record.call.content_key] = question
+        self.questions.put_nowait(question)
+
+    def _is_pending(self, content_key: str) -> bool:
+        question = self._pending.get(content_key)
+        if question is None:
+            return False
+        if self._clock.read_monotonic() < question.asked + _PENDING_SECONDS:
+            return True
+        self._pending.pop(content_key)
+        return False
+
+    def _find_findings(self, now_wall: float) -> Findings:
+        for table in self._tables.values():
+            table.refresh(now_wall)
+        return Findings(
+            _view(self._tables[CRASH_KIND]),
+            _view(self._tables[ISOLATED_CRASH_KIND]),
+            _view(self._tables[CLEAR_KIND]),
+        )
+
+    def _publish(
+        self,
+        kind: str,
+        key: str,
+        record: CrashRecord | ClearRecord,
+        keep_seconds: float,
+    ) -> None:
+        expires_wall = self._clock.read_wall() + keep_seconds
+        fact = Fact(kind, key, msgpack.encode(record), expires_wall)
+        # This host must know at once, whatever way the board takes.
+        self._tables[kind].take(fact)
+        self._board.publish_fact(fact)
+
+
+def _view(table: RecordTable) -> Mapping[str, object]:
+    return table.records
+
+
+def _read_order(record: CrashRecord | ClearRecord) -> float:
+    if isinstance(record, CrashRecord):
+        return record.crashed_wall
+    return record.started_wall
