--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -10,6 +10,7 @@
 from monsoonwall.clocks import Clock
 from monsoonwall.configuration.model import Configuration
 from monsoonwall.entry.claiming import Claims
+from monsoonwall.entry.controls import RequestControls
 from monsoonwall.entry.meshing import Mesh
 from monsoonwall.entry.operating import Operating
 from monsoonwall.entry.requests import RequestTasks
@@ -20,10 +21,6 @@
 from monsoonwall.pipeline.acceptance import Acceptance
 from monsoonwall.pipeline.baseline import (
     ActiveVersionChoice,
-    FixedRetryRule,
-    OpenAdmission,
-    OpenScreening,
-    RoundRobinRouting,
 )
 from monsoonwall.pipeline.dispatch import Dispatcher, Stages
 from monsoonwall.settings import EntrySettings, split_address
@@ -55,6 +52,9 @@
             self._mesh.peers,
             clock,
         )
+        self._controls = RequestControls(
+            settings, self._mesh, self._pool, clock
+        )
 
     async def run(self) -> None:
         """Serve until a signal asks for the shutdown."""
@@ -64,26 +64,29 @@
         await self._mesh.start((self._claims.registrar,))
         server = self._listen()
         configuring = asyncio.create_task(self._operating.configuring.run())
+        controlling = asyncio.create_task(self._controls.run())
         _log.info('Entry host started.', address=self._settings.listen_address)
         await self._stopping.wait()
         await self._shut_down(server)
+        controlling.cancel()
         configuring.cancel()
 
     def adopt(self, configuration: Configuration) -> None:
         """Put a configuration in force for requests accepted from now on."""
         self._pool.adopt(configuration)
+        self._controls.adopt(configuration)
         stages = Stages(
             ActiveVersionChoice(configuration),
-            RoundRobinRouting(configuration),
-            FixedRetryRule(),
+            self._controls.routing,
+            self._controls.retries,
             self._claims.claiming,
-            (),
+            self._controls.observers,
         )
         self._state.serving = Serving(
             configuration,
             Acceptance(configuration, self._settings.host_name),
-            self._operating.guard(OpenAdmission()),
-            OpenScreening(),
+            self._operating.guard(self._controls.admission),
+            self._controls.screening,
             Dispatcher(stages, self._pool, self._clock),
         )
         CONFIGURATION_NUMBER.set(configuration.number)
