Take chunks by request, attempt and offset; watch for stalls

The relay took any chunk whose offset fitted and ended the attempt on the first repeated one. The decision now stands alone in decisions/assembly.py: late and repeated chunks are dropped and counted, missing, foreign and crossed ones also end the attempt. An attempt can be interrupted from outside, and one without a chunk within its stall deadline is superseded; its stream is read on for 5 s so that late chunks are counted.

Event ids carry a hash of the text, so that a caller who resumes is told when the answer went on differently.

10,000 random interleavings: none missing, doubled or foreign. A relay that appends what comes damages more than half of 1,000 disturbed streams.

--- a/src/monsoonwall/entry/responses.py
+++ b/src/monsoonwall/entry/responses.py
@@ -5,7 +5,7 @@
 
 from msgspec import json
 
-from monsoonwall.pipeline.answers import Answer, Piece
+from monsoonwall.pipeline.answers import Answer, Piece, Position
 from monsoonwall.pipeline.messages import Call, Refusal, RefusalReason
 
 SERVICE_UNAVAILABLE: Final = 503
@@ -23,6 +23,7 @@
         RefusalReason.crashing_request: 422,
         RefusalReason.deadline_passed: 504,
         RefusalReason.outcome_unknown: 504,
+        RefusalReason.answer_diverged: 409,
         RefusalReason.internal: 500,
     }
 )
@@ -49,12 +50,13 @@
 def format_event(call: Call, piece: Piece) -> bytes:
     """Return the server-sent events of one piece of an answer.
 
-    The event id is the request id and the number of tokens that the caller
-    has after it, so that a caller can resume from the last one it saw.
+    The event id is the request id, the number of tokens that the caller has
+    after it and a hash of their text, so that a caller can resume from the
+    last one it saw and is told if the answer went on differently.
     """
     events = b''
     seen = piece.offset + len(piece.tokens)
-    event_id = f'{call.request_id}:{seen}'.encode()
+    event_id = f'{call.request_id}:{seen}:{piece.digest}'.encode()
     if piece.tokens or piece.finished:
         body = json.encode(_describe_piece(call, piece))
         events = b'id: %b\ndata: %b\n\n' % (event_id, body)
@@ -65,6 +67,9 @@
             event_id,
             error,
         )
+    if piece.handed_over:
+        moved = json.encode({'resume': f'/v1/requests/{call.request_id}'})
+        return b'%bevent: handed_over\ndata: %b\n\n' % (events, moved)
     if piece.finished or piece.refusal is not None:
         events = b'%bdata: [DONE]\n\n' % events
     return events
@@ -92,6 +97,15 @@
     }
 
 
+def parse_event_id(event_id: str) -> Position:
+    """Return the position that an event id tells; the start if it is none."""
+    fields = event_id.split(':')
+    offset = fields[1] if len(fields) > 1 else ''
+    if not offset.isdecimal():
+        return Position()
+    return Position(int(offset), fields[2] if len(fields) > 2 else '')
+
+
 def _describe_piece(call: Call, piece: Piece) -> dict[str, Any]:
     text = ''.join(piece.tokens)
     finish = 'stop' if piece.finished else None
--- a/src/monsoonwall/entry/web.py
+++ b/src/monsoonwall/entry/web.py
@@ -17,10 +17,11 @@
     describe_answer,
     describe_refusal,
     format_event,
+    parse_event_id,
 )
 from monsoonwall.entry.state import HostState
 from monsoonwall.pipeline.acceptance import CallerRequest
-from monsoonwall.pipeline.answers import Answer
+from monsoonwall.pipeline.answers import Answer, Position
 from monsoonwall.pipeline.messages import (
     Effect,
     Refusal,
@@ -67,13 +68,13 @@
 
 
 class _AnswerHandler(JsonHandler):
-    async def stream_answer(self, answer: Answer, offset: int) -> None:
-        """Send the answer from an offset as server-sent events."""
+    async def stream_answer(self, answer: Answer, seen: Position) -> None:
+        """Send the answer past a position as server-sent events."""
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header('Cache-Control', 'no-store')
         self.set_header('X-Request-Id', answer.call.request_id)
         try:
-            async for piece in answer.follow(offset):
+            async for piece in answer.follow(seen):
                 self.write(format_event(answer.call, piece))
                 await self.flush()
         except StreamClosedError:
@@ -107,7 +108,7 @@
             return
         answer, stream = started.unwrap()
         if stream:
-            await self.stream_answer(answer, 0)
+            await self.stream_answer(answer, Position())
         else:
             await self.send_whole(answer)
 
@@ -133,8 +134,7 @@
             )
             return
         last_event = self.request.headers.get('Last-Event-ID', '')
-        _, _, seen = last_event.rpartition(':')
-        await self.stream_answer(answer, int(seen) if seen.isdigit() else 0)
+        await self.stream_answer(answer, parse_event_id(last_event))
 
 
 class ServiceHandler(JsonHandler):
--- a/src/monsoonwall/pipeline/answers.py
+++ b/src/monsoonwall/pipeline/answers.py
@@ -5,43 +5,131 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
+from enum import StrEnum
 
-from monsoonwall.pipeline.messages import Call, Refusal
+from xxhash import xxh3_64, xxh3_64_hexdigest
+
+from monsoonwall.decisions.assembly import Assembly, ChunkVerdict
+from monsoonwall.pipeline.messages import (
+    AttemptFailure,
+    Call,
+    Chunk,
+    Effect,
+    Refusal,
+    RefusalReason,
+    ServerChoice,
+)
 
 
 @dataclass(frozen=True)
 class Piece:
-    """Carry the part of an answer that a reader has not seen."""
+    """Carry the part of an answer that a reader has not seen.
+
+    ``digest`` is a hash of the answer's text up to the end of this piece.
+    ``handed_over`` tells that another entry host has the rest.
+    """
 
     offset: int
     tokens: tuple[str, ...]
     finished: bool = False
     refusal: Refusal | None = None
+    digest: str = ''
+    handed_over: bool = False
+
+
+@dataclass(frozen=True)
+class Position:
+    """Tell what a reader has: tokens, and a hash of their text if known."""
+
+    offset: int = 0
+    digest: str = ''
+
+
+class InterruptionKind(StrEnum):
+    """Name why an attempt stops before its answer is whole."""
+
+    failed = 'failed'
+    moved = 'moved'
+    abandoned = 'abandoned'
+
+
+@dataclass(frozen=True)
+class Interruption:
+    """End an attempt; ``choice`` is where the next one goes, if decided."""
+
+    kind: InterruptionKind
+    failure: AttemptFailure
+    choice: ServerChoice | None = None
+    kv_handle: str = ''
+
+
+class RunningAttempt(ABC):
+    """Let other tasks see and interrupt an attempt in progress."""
+
+    choice: ServerChoice
+
+    @abstractmethod
+    def interrupt(self, interruption: Interruption) -> None:
+        """End the attempt unless it has ended."""
 
 
 class Answer:
     """Grow as attempts give tokens; end with the last or a refusal."""
 
-    def __init__(self, call: Call) -> None:
+    def __init__(
+        self, call: Call, version: str = '', tokens: tuple[str, ...] = ()
+    ) -> None:
         self.call = call
-        self.tokens: list[str] = []
-        self.finished = False
+        self.version = version
         self.refusal: Refusal | None = None
+        self.handed_over = False
         self.prompt_tokens = 0
         self.cached_tokens = 0
+        self.readers = 0
+        self.running: RunningAttempt | None = None
+        self._assembly = Assembly(call.request_id, call.max_tokens, tokens)
+        self._hasher = xxh3_64(''.join(tokens).encode())
         self._grown = asyncio.Event()
 
     @property
-    def ended(self) -> bool:
-        """Tell whether nothing will be added."""
-        return self.finished or self.refusal is not None
+    def tokens(self) -> list[str]:
+        """Return the tokens so far; for reading only."""
+        return self._assembly.tokens
+
+    @property
+    def finished(self) -> bool:
+        """Tell whether the answer is whole."""
+        return self._assembly.finished
 
-    def append(self, tokens: tuple[str, ...], finished: bool) -> None:
-        """Add tokens at the end."""
-        self.tokens.extend(tokens)
-        self.finished = finished
+    @property
+    def full(self) -> bool:
+        """Tell whether the answer has as many tokens as it may."""
+        return self._assembly.full
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether nothing will be added here."""
+        return self.finished or self.refusal is not None or self.handed_over
+
+    def begin_attempt(self, number: int) -> None:
+        """Take chunks of this attempt only, from now on."""
+        self._assembly.begin_attempt(number)
+
+    def take(self, chunk: Chunk) -> ChunkVerdict:
+        """Add a chunk that fits; return what became of it."""
+        verdict = self._assembly.take(chunk)
+        if verdict is ChunkVerdict.taken:
+            self._hasher.update(''.join(chunk.tokens).encode())
+            self._wake_readers()
+        return verdict
+
+    def finish(self) -> None:
+        """End an answer that has all of its tokens."""
+        self._assembly.finished = True
         self._wake_readers()
 
     def refuse(self, refusal: Refusal) -> None:
@@ -49,24 +137,61 @@
         self.refusal = refusal
         self._wake_readers()
 
-    async def follow(self, offset: int) -> AsyncIterator[Piece]:
-        """Yield what lies past an offset, as it comes, to the end."""
+    def hand_over(self) -> None:
+        """Tell the readers that another entry host has the rest."""
+        self.handed_over = True
+        self._wake_readers()
+
+    async def follow(self, seen: Position) -> AsyncIterator[Piece]:
+        """Yield what lies past a position, as it comes, to the end."""
+        with self._count_reader():
+            while len(self.tokens) < seen.offset and not self.ended:
+                await self._grown.wait()
+            if self.ended and self.handed_over:
+                yield self._cut_piece(len(self.tokens))
+                return
+            if not _match_text(self.tokens, seen):
+                yield Piece(seen.offset, (), refusal=_refuse_diverged())
+                return
+            async for piece in self._follow_checked(seen.offset):
+                yield piece
+
+    async def wait_end(self) -> None:
+        """Return once nothing will be added."""
+        with self._count_reader():
+            while not self.ended:
+                await self._grown.wait()
+
+    async def _follow_checked(self, offset: int) -> AsyncIterator[Piece]:
         position = offset
         while True:
             grown = self._grown
-            tokens = tuple(self.tokens[position:])
-            if tokens or self.ended:
-                yield Piece(position, tokens, self.finished, self.refusal)
-            position += len(tokens)
-            if self.ended:
+            piece = self._cut_piece(position)
+            if piece.tokens or self.ended:
+                yield piece
+            position += len(piece.tokens)
+            if self.ended and position == len(self.tokens):
                 return
             if not grown.is_set():
                 await grown.wait()
 
-    async def wait_end(self) -> None:
-        """Return once nothing will be added."""
-        while not self.ended:
-            await self._grown.wait()
+    def _cut_piece(self, position: int) -> Piece:
+        return Piece(
+            position,
+            tuple(self.tokens[position:]),
+            self.finished,
+            self.refusal,
+            self._hasher.hexdigest(),
+            self.handed_over,
+        )
+
+    @contextmanager
+    def _count_reader(self) -> Iterator[None]:
+        self.readers += 1
+        try:
+            yield
+        finally:
+            self.readers -= 1
 
     def _wake_readers(self) -> None:
         grown = self._grown
@@ -86,14 +211,39 @@
 
     def open_answer(self, call: Call) -> Answer:
         """Begin the answer of a call."""
-        answer = Answer(call)
-        self._answers[call.request_id] = answer
+        return self.add(Answer(call))
+
+    def add(self, answer: Answer) -> Answer:
+        """Keep an answer and return it."""
+        self._answers[answer.call.request_id] = answer
         return answer
 
     def find(self, request_id: str) -> Answer | None:
         """Return the answer of a request, if it is here."""
         return self._answers.get(request_id)
 
+    def list_running(self) -> list[Answer]:
+        """Return the answers that have not ended."""
+        return [one for one in self._answers.values() if not one.ended]
+
     def forget(self, request_id: str) -> None:
         """Drop an answer that nobody will ask for."""
         self._answers.pop(request_id, None)
+
+
+def _match_text(tokens: list[str], seen: Position) -> bool:
+    if len(tokens) < seen.offset:
+        return False
+    if not seen.digest:
+        return True
+    text = ''.join(tokens[: seen.offset])
+    return xxh3_64_hexdigest(text.encode()) == seen.digest
+
+
+def _refuse_diverged() -> Refusal:
+    return Refusal(
+        RefusalReason.answer_diverged,
+        Effect.run,
+        'the answer went on differently from the text received; '
+        'drop that text and send the request again',
+    )
--- /dev/null
+++ b/src/monsoonwall/pipeline/attempts.py
@@ -0,0 +1,189 @@
+"""Run one attempt at a model engine so that it can be interrupted."""
+
+import asyncio
+from asyncio import Future, Task, TimerHandle
+from collections.abc import AsyncIterator
+from types import MappingProxyType
+from typing import Final
+
+from monsoonwall.backends.engine import GenerateOrder, ModelEngine
+from monsoonwall.clocks import Clock
+from monsoonwall.decisions.assembly import FATAL_VERDICTS, ChunkVerdict
+from monsoonwall.metrics import DROPPED_CHUNKS, FIRST_TOKEN, TOKENS
+from monsoonwall.pipeline.answers import (
+    Answer,
+    Interruption,
+    InterruptionKind,
+    RunningAttempt,
+)
+from monsoonwall.pipeline.messages import (
+    AttemptEnding,
+    AttemptFailure,
+    Chunk,
+    Priority,
+    ServerChoice,
+)
+
+# The first chunk waits for a place in the engine's batch and for the prompt.
+FIRST_CHUNK_SECONDS: Final = MappingProxyType(
+    {Priority.interactive: 5.0, Priority.batch: 30.0}
+)
+BETWEEN_CHUNKS_SECONDS: Final = 2.0
+# A watchdog that fires this late tells of a pause of this process, not of
+# the engine, whose chunks may be waiting unread.
+_PAUSE_SECONDS: Final = 0.5
+# The stream of a superseded attempt is read on for a while, so that what it
+# still sends is seen and counted.
+_LINGER_SECONDS: Final = 5.0
+
+_EARLY_END: Final = AttemptFailure(
+    AttemptEnding.crashed, 'the stream ended early', True
+)
+_STALLED: Final = AttemptFailure(
+    AttemptEnding.timed_out, 'no chunk within the stall deadline', True
+)
+
+
+class Attempt(RunningAttempt):
+    """Take the chunks of one attempt that fit into the answer."""
+
+    def __init__(
+        self, answer: Answer, number: int, choice: ServerChoice, clock: Clock
+    ) -> None:
+        self.choice = choice
+        self.number = number
+        self.started = clock.read_monotonic()
+        self.first_token_at: float | None = None
+        self.taken = 0
+        self._answer = answer
+        self._clock = clock
+        self._last_chunk = self.started
+        self._ending: Future[Interruption | None] = Future()
+
+    async def run(
+        self, engine: ModelEngine, kv_handle: str
+    ) -> Interruption | None:
+        """Return None once the answer is whole, or why it is not."""
+        answer = self._answer
+        answer.begin_attempt(self.number)
+        order = GenerateOrder(
+            answer.call, self.number, tuple(answer.tokens), kv_handle
+        )
+        reading = asyncio.create_task(self._read(engine.generate(order)))
+        answer.running = self
+        try:
+            return await self._wait_ending()
+        finally:
+            answer.running = None
+            self._leave(engine, reading)
+
+    def interrupt(self, interruption: Interruption) -> None:
+        """End the attempt unless it has ended."""
+        self._end(interruption)
+
+    async def _wait_ending(self) -> Interruption | None:
+        watchdog = _Watchdog(
+            self._check_stall, self._find_stall_deadline(), self._clock
+        )
+        try:
+            return await self._ending
+        finally:
+            watchdog.cancel()
+
+    async def _read(
+        self, stream: AsyncIterator[Chunk | AttemptFailure]
+    ) -> None:
+        async for message in stream:
+            if isinstance(message, AttemptFailure):
+                self._fail(message)
+                return
+            self._take(message)
+        self._fail(_EARLY_END)
+
+    def _take(self, chunk: Chunk) -> None:
+        verdict = self._answer.take(chunk)
+        if verdict is not ChunkVerdict.taken:
+            DROPPED_CHUNKS.labels(verdict).inc()
+        if verdict in FATAL_VERDICTS:
+            self._fail(
+                AttemptFailure(
+                    AttemptEnding.malformed, f'chunk is {verdict}', True
+                )
+            )
+        elif verdict is ChunkVerdict.taken:
+            self._note(chunk)
+
+    def _note(self, chunk: Chunk) -> None:
+        answer = self._answer
+        self._last_chunk = self._clock.read_monotonic()
+        if self.first_token_at is None:
+            self.first_token_at = self._last_chunk
+            answer.prompt_tokens = chunk.prompt_tokens or 0
+            answer.cached_tokens = chunk.cached_tokens or 0
+            FIRST_TOKEN.labels(answer.call.route).observe(
+                self.first_token_at - self.started
+            )
+        self.taken += len(chunk.tokens)
+        TOKENS.labels(answer.call.service).inc(len(chunk.tokens))
+        if answer.finished:
+            self._end(None)
+
+    def _fail(self, failure: AttemptFailure) -> None:
+        self._end(Interruption(InterruptionKind.failed, failure))
+
+    def _end(self, ending: Interruption | None) -> None:
+        if not self._ending.done():
+            self._ending.set_result(ending)
+
+    def _find_stall_deadline(self) -> float:
+        if self.first_token_at is None:
+            patience = FIRST_CHUNK_SECONDS[self._answer.call.priority]
+        else:
+            patience = BETWEEN_CHUNKS_SECONDS
+        return self._last_chunk + patience
+
+    def _check_stall(self) -> float | None:
+        deadline = self._find_stall_deadline()
+        if self._clock.read_monotonic() < deadline:
+            return deadline
+        self._fail(_STALLED)
+        return None
+
+    def _leave(self, engine: ModelEngine, reading: Task[None]) -> None:
+        if self._answer.finished or reading.done():
+            return
+        cancelling = asyncio.create_task(
+            engine.cancel(self._answer.call.request_id, self.number)
+        )
+        # The loop holds tasks weakly; the reading one outlives the cancel.
+        reading.add_done_callback(lambda _: cancelling)
+        asyncio.get_running_loop().call_later(_LINGER_SECONDS, reading.cancel)
+
+
+class _Watchdog:
+    """Call a check at each deadline that it gives, until it gives none."""
+
+    def __init__(self, check, deadline: float, clock: Clock) -> None:
+        self._check = check
+        self._clock = clock
+        self._handle: TimerHandle
+        self._arm(deadline)
+
+    def cancel(self) -> None:
+        """Stop checking."""
+        self._handle.cancel()
+
+    def _arm(self, deadline: float) -> None:
+        self._deadline = deadline
+        self._handle = asyncio.get_running_loop().call_later(
+            max(0, deadline - self._clock.read_monotonic()), self._fire
+        )
+
+    def _fire(self) -> None:
+        now = self._clock.read_monotonic()
+        if now > self._deadline + _PAUSE_SECONDS:
+            self._arm(now + _PAUSE_SECONDS)
+            return
+        following = self._check()
+        if following is not None:
+            self._arm(following)
--- a/src/monsoonwall/pipeline/dispatch.py
+++ b/src/monsoonwall/pipeline/dispatch.py
@@ -7,23 +7,20 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from monsoonwall.backends.engine import GenerateOrder
 from monsoonwall.backends.pool import BackendPool
 from monsoonwall.clocks import Clock
-from monsoonwall.metrics import (
-    ATTEMPTS,
-    DROPPED_CHUNKS,
-    FIRST_TOKEN,
-    RETRIES,
-    TOKENS,
+from monsoonwall.metrics import ATTEMPTS, RETRIES
+from monsoonwall.pipeline.answers import (
+    Answer,
+    Interruption,
+    InterruptionKind,
 )
-from monsoonwall.pipeline.answers import Answer
+from monsoonwall.pipeline.attempts import Attempt
 from monsoonwall.pipeline.messages import (
     AttemptEnding,
     AttemptFailure,
     AttemptRecord,
     Call,
-    Chunk,
     Refusal,
     ServerChoice,
     ServiceReply,
@@ -61,6 +58,9 @@
     isolated: bool
     attempt: int = 1
     excluded: frozenset[str] = frozenset()
+    failures: int = 0
+    target: ServerChoice | None = None
+    kv_handle: str = ''
 
 
 class Dispatcher:
@@ -71,21 +71,42 @@
         self._pool = pool
         self._clock = clock
 
+    def choose_version(self, call: Call) -> str:
+        """Return the version that the whole answer of a call comes from."""
+        now = self._clock.read_monotonic()
+        return self._stages.versions.choose_version(call, now)
+
+    def choose_target(
+        self, answer: Answer, excluded: frozenset[str]
+    ) -> Result[ServerChoice, Refusal]:
+        """Return another server of the answer's version to move it to."""
+        progress = _Progress(
+            answer.call, answer.version, False, excluded=excluded
+        )
+        return self._choose(progress)
+
     async def run_model_call(
         self, answer: Answer, isolated: bool, attempt: int = 1
     ) -> None:
-        """Fill the answer, resuming on other servers as need be."""
-        progress = self._begin(answer.call, isolated, attempt)
+        """Fill the answer, resuming on other servers as need be.
+
+        Returns with the answer not ended when the attempt was abandoned;
+        a later call with a greater attempt number goes on from there.
+        """
+        progress = self._begin(answer, isolated, attempt)
         while not answer.ended:
+            if answer.full:
+                answer.finish()
+                return
             choice = self._choose(progress)
             if not is_successful(choice):
                 answer.refuse(choice.failure())
                 return
-            failure = await self._generate(answer, progress, choice.unwrap())
-            if failure is None:
+            ending = await self._generate(answer, progress, choice.unwrap())
+            if ending is None or ending.kind is InterruptionKind.abandoned:
                 return
-            following = await self._follow_failure(
-                progress, choice.unwrap(), failure
+            following = await self._follow_interruption(
+                progress, choice.unwrap(), ending
             )
             if not is_successful(following):
                 answer.refuse(following.failure())
@@ -117,7 +138,7 @@
     async def _send(
         self, call: Call, isolated: bool
     ) -> 'Result[ServiceReply, _GivenUp]':
-        progress = self._begin(call, isolated, 1)
+        progress = _Progress(call, self.choose_version(call), isolated)
         last = _VANISHED
         while True:
             choice = self._choose(progress)
@@ -134,12 +155,14 @@
                 return Failure(_GivenUp(following.failure(), last))
             progress = following.unwrap()
 
-    def _begin(self, call: Call, isolated: bool, attempt: int) -> _Progress:
-        now = self._clock.read_monotonic()
-        version = self._stages.versions.choose_version(call, now)
-        return _Progress(call, version, isolated, attempt)
+    def _begin(self, answer: Answer, isolated: bool, attempt: int) -> _Progress:
+        # An answer keeps its version however often and wherever it resumes.
+        answer.version = answer.version or self.choose_version(answer.call)
+        return _Progress(answer.call, answer.version, isolated, attempt)
 
     def _choose(self, progress: _Progress) -> Result[ServerChoice, Refusal]:
+        if progress.target is not None:
+            return Success(progress.target)
         now = self._clock.read_monotonic()
         choice = self._stages.routing.choose_server(
             progress.call,
@@ -154,6 +177,25 @@
             )
         return choice
 
+    async def _follow_interruption(
+        self,
+        progress: _Progress,
+        choice: ServerChoice,
+        ending: Interruption,
+    ) -> Result[_Progress, Refusal]:
+        if ending.kind is InterruptionKind.failed:
+            return await self._follow_failure(progress, choice, ending.failure)
+        # A move is the system's own doing and uses up no retries.
+        return Success(
+            replace(
+                progress,
+                attempt=progress.attempt + 1,
+                excluded=progress.excluded | {choice.server},
+                target=ending.choice,
+                kv_handle=ending.kv_handle,
+            )
+        )
+
     async def _follow_failure(
         self,
         progress: _Progress,
@@ -161,8 +203,9 @@
         failure: AttemptFailure,
     ) -> Result[_Progress, Refusal]:
         now = self._clock.read_monotonic()
+        failures = progress.failures + 1
         decision = self._stages.retries.decide_retry(
-            progress.call, progress.attempt, failure, now
+            progress.call, failures, failure, now
         )
         if not is_successful(decision):
             return Failure(decision.failure())
@@ -173,24 +216,22 @@
                 progress,
                 attempt=progress.attempt + 1,
                 excluded=progress.excluded | {choice.server},
+                failures=failures,
+                target=None,
+                kv_handle='',
             )
         )
 
     async def _generate(
         self, answer: Answer, progress: _Progress, choice: ServerChoice
-    ) -> AttemptFailure | None:
+    ) -> Interruption | None:
         engine = self._pool.find_engine(choice.server)
         if engine is None:
-            return _VANISHED
-        relay = _Relay(answer, progress.attempt, self._clock)
-        order = GenerateOrder(
-            answer.call, progress.attempt, tuple(answer.tokens)
-        )
-        stream = engine.generate(order)
-        failure = await relay.take_all(stream)
-        await stream.aclose()
-        self._record(progress, choice, relay, failure)
-        return failure
+            return Interruption(InterruptionKind.failed, _VANISHED)
+        attempt = Attempt(answer, progress.attempt, choice, self._clock)
+        ending = await attempt.run(engine, progress.kv_handle)
+        self._record_generation(answer, attempt, ending)
+        return ending
 
     async def _send_once(
         self, progress: _Progress, choice: ServerChoice
@@ -198,34 +239,53 @@
         service = self._pool.find_service(choice.server)
         if service is None:
             return Failure(_VANISHED)
-        relay = _Relay(Answer(progress.call), progress.attempt, self._clock)
+        started = self._clock.read_monotonic()
         reply = await service.send_call(progress.call)
-        failure = None if is_successful(reply) else reply.failure()
-        self._record(progress, choice, relay, failure)
+        ending = (
+            AttemptEnding.completed
+            if is_successful(reply)
+            else reply.failure().ending
+        )
+        self._record(
+            AttemptRecord(
+                call=progress.call,
+                attempt=progress.attempt,
+                choice=choice,
+                started=started,
+                first_token_at=None,
+                ended=self._clock.read_monotonic(),
+                tokens=0,
+                prompt_tokens=0,
+                cached_tokens=0,
+                ending=ending,
+            )
+        )
         return reply
 
-    def _record(
-        self,
-        progress: _Progress,
-        choice: ServerChoice,
-        relay: '_Relay',
-        failure: AttemptFailure | None,
+    def _record_generation(
+        self, answer: Answer, attempt: Attempt, ending: Interruption | None
     ) -> None:
-        ending = failure.ending if failure else AttemptEnding.completed
-        call = progress.call
-        ATTEMPTS.labels(call.service, choice.version, ending).inc()
-        record = AttemptRecord(
-            call,
-            progress.attempt,
-            choice,
-            relay.started,
-            relay.first_token_at,
-            self._clock.read_monotonic(),
-            relay.taken,
-            relay.prompt_tokens,
-            relay.cached_tokens,
-            ending,
+        self._record(
+            AttemptRecord(
+                call=answer.call,
+                attempt=attempt.number,
+                choice=attempt.choice,
+                started=attempt.started,
+                first_token_at=attempt.first_token_at,
+                ended=self._clock.read_monotonic(),
+                tokens=attempt.taken,
+                prompt_tokens=answer.prompt_tokens,
+                cached_tokens=answer.cached_tokens,
+                ending=ending.failure.ending
+                if ending
+                else AttemptEnding.completed,
+            )
         )
+
+    def _record(self, record: AttemptRecord) -> None:
+        ATTEMPTS.labels(
+            record.call.service, record.choice.version, record.ending
+        ).inc()
         for observer in self._stages.observers:
             observer.observe(record)
 
@@ -238,59 +298,3 @@
 
 def _get_refusal(given_up: _GivenUp) -> Refusal:
     return given_up.refusal
-
-
-class _Relay:
-    """Take the chunks of one attempt that fit into the answer."""
-
-    def __init__(self, answer: Answer, attempt: int, clock: Clock) -> None:
-        self._answer = answer
-        self._attempt = attempt
-        self._clock = clock
-        self.started = clock.read_monotonic()
-        self.first_token_at: float | None = None
-        self.taken = 0
-        self.prompt_tokens = 0
-        self.cached_tokens = 0
-
-    async def take_all(self, stream) -> AttemptFailure | None:
-        """Return None once the answer is whole, or why it is not."""
-        async for message in stream:
-            if isinstance(message, AttemptFailure):
-                return message
-            failure = self._take(message)
-            if failure is not None or self._answer.finished:
-                return failure
-        return AttemptFailure(
-            AttemptEnding.crashed, 'the stream ended early', True
-        )
-
-    def _take(self, chunk: Chunk) -> AttemptFailure | None:
-        call = self._answer.call
-        if (chunk.request_id, chunk.attempt) != (
-            call.request_id,
-            self._attempt,
-        ):
-            DROPPED_CHUNKS.labels('foreign').inc()
-            return AttemptFailure(
-                AttemptEnding.malformed, 'chunk of another stream', True
-            )
-        if chunk.offset != len(self._answer.tokens):
-            DROPPED_CHUNKS.labels('offset').inc()
-            return AttemptFailure(
-                AttemptEnding.malformed, 'chunk does not follow', True
-            )
-        if self.first_token_at is None:
-            self._note_first(chunk)
-        self.taken += len(chunk.tokens)
-        TOKENS.labels(call.service).inc(len(chunk.tokens))
-        self._answer.append(chunk.tokens, chunk.finished)
-        return None
-
-    def _note_first(self, chunk: Chunk) -> None:
-        self.first_token_at = self._clock.read_monotonic()
-        self.prompt_tokens = chunk.prompt_tokens or 0
-        self.cached_tokens = chunk.cached_tokens or 0
-        FIRST_TOKEN.labels(self._answer.call.route).observe(
-            self.first_token_at - self.started
-        )
--- a/src/monsoonwall/pipeline/messages.py
+++ b/src/monsoonwall/pipeline/messages.py
@@ -45,6 +45,7 @@
     not_ready = 'entry_host_not_ready'
     stale_configuration = 'configuration_too_old'
     outcome_unknown = 'outcome_unknown'
+    answer_diverged = 'answer_diverged'
     internal = 'internal_error'
 
 
--- /dev/null
+++ b/tests/decisions/test_assembly.py
@@ -0,0 +1,191 @@
+"""Fuzz how chunks become an answer."""
+
+import unittest
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from monsoonwall.decisions.assembly import Assembly, ChunkVerdict
+from monsoonwall.pipeline.messages import Chunk
+
+LENGTH = 12
+TRUTH = tuple(f't{position}' for position in range(LENGTH))
+
+seeds = st.integers(0, 2**64 - 1)
+
+
+def cut_stream(random, attempt, start):
+    """Return the chunks of an attempt that continues from an offset."""
+    chunks = []
+    while start < LENGTH:
+        end = min(LENGTH, start + random.randint(1, 4))
+        chunks.append(
+            Chunk('own', attempt, start, TRUTH[start:end], end == LENGTH)
+        )
+        start = end
+    return chunks
+
+
+def disturb_stream(random, chunks):
+    """Return chunks with some lost, doubled, swapped and foreign ones."""
+    sent = []
+    for chunk in chunks:
+        fault = random.choice(('none', 'none', 'lost', 'twice', 'foreign'))
+        if fault == 'foreign':
+            sent.append(Chunk('other', chunk.attempt, chunk.offset, ('f',)))
+        if fault != 'lost':
+            sent.append(chunk)
+        if fault == 'twice':
+            sent.append(chunk)
+    if random.random() < 0.3:
+        random.shuffle(sent)
+    return sent
+
+
+def assemble_naively(chunks):
+    """Append whatever comes, as a relay without checks would."""
+    return [token for chunk in chunks for token in chunk.tokens]
+
+
+def assemble_in_hindsight(chunks, attempt, tokens):
+    """Return the longest answer that one attempt's chunks can give."""
+    known = dict(enumerate(tokens))
+    for chunk in chunks:
+        if (chunk.request_id, chunk.attempt) == ('own', attempt):
+            known.update(enumerate(chunk.tokens, chunk.offset))
+    whole = []
+    while len(whole) in known:
+        whole.append(known[len(whole)])
+    return whole
+
+
+class InterleavingTest(unittest.TestCase):
+    """Cross the streams of several attempts at random."""
+
+    @settings(max_examples=10_000)
+    @given(seeds)
+    def test_nothing_missing_doubled_or_foreign(self, seed):
+        random = Random(seed)
+        assembly = Assembly('own', LENGTH)
+        late = []
+        for attempt in range(1, 5):
+            assembly.begin_attempt(attempt)
+            before = tuple(assembly.tokens)
+            own = disturb_stream(
+                random, cut_stream(random, attempt, len(before))
+            )
+            arriving = own + late
+            random.shuffle(arriving) if late else None
+            for chunk in arriving:
+                assembly.take(chunk)
+            hindsight = assemble_in_hindsight(own, attempt, before)
+            self.assertEqual(hindsight[: len(assembly.tokens)], assembly.tokens)
+            late = random.sample(own, len(own) // 2)
+        self.assertEqual(tuple(assembly.tokens), TRUTH[: len(assembly.tokens)])
+        self.assertEqual(assembly.finished, len(assembly.tokens) == LENGTH)
+
+    def test_naive_relay_damages_what_the_assembly_keeps(self):
+        damaged = 0
+        for seed in range(1000):
+            random = Random(seed)
+            sent = disturb_stream(random, cut_stream(random, 1, 0))
+            naive = tuple(assemble_naively(sent))
+            damaged += naive != TRUTH[: len(naive)]
+        self.assertGreater(damaged, 500)
+
+    def test_undisturbed_stream_is_whole(self):
+        assembly = Assembly('own', LENGTH)
+        assembly.begin_attempt(1)
+        for chunk in cut_stream(Random(0), 1, 0):
+            self.assertIs(assembly.take(chunk), ChunkVerdict.taken)
+        self.assertTrue(assembly.finished)
+
+
+class VerdictTest(unittest.TestCase):
+    """Check what becomes of single chunks."""
+
+    def setUp(self):
+        self.assembly = Assembly('own', LENGTH, TRUTH[:4])
+        self.assembly.begin_attempt(2)
+
+    def check(self, verdict, attempt, offset, *tokens, request_id='own'):
+        chunk = Chunk(request_id, attempt, offset, tokens)
+        self.assertIs(self.assembly.take(chunk), verdict)
+        self.assertEqual(tuple(self.assembly.tokens), TRUTH[:4])
+
+    def test_chunk_of_superseded_attempt(self):
+        self.check(ChunkVerdict.late, 1, 4, TRUTH[4])
+
+    def test_repeated_chunk(self):
+        self.check(ChunkVerdict.repeated, 2, 2, *TRUTH[2:4])
+
+    def test_repetition_that_says_something_else(self):
+        self.check(ChunkVerdict.crossed, 2, 2, 'x', 'y')
+
+    def test_chunk_after_a_gap(self):
+        self.check(ChunkVerdict.missing, 2, 5, TRUTH[5])
+
+    def test_chunk_of_another_request(self):
+        self.check(ChunkVerdict.foreign, 2, 4, 'x', request_id='other')
+
+    def test_chunk_of_an_attempt_never_made(self):
+        self.check(ChunkVerdict.foreign, 3, 4, TRUTH[4])
+
+    def test_chunk_past_the_limit(self):
+        self.check(ChunkVerdict.crossed, 2, 4, *('x' * (LENGTH - 3)))
+
+    def test_attempt_numbers_only_grow(self):
+        with self.assertRaises(ValueError):
+            self.assembly.begin_attempt(2)
+
+
+class AssemblyMachine(RuleBasedStateMachine):
+    """Send any chunk at any moment and compare with the true text."""
+
+    def __init__(self):
+        super().__init__()
+        self.assembly = Assembly('own', LENGTH)
+        self.attempt = 1
+        self.length = 0
+        self.assembly.begin_attempt(1)
+
+    @rule()
+    def supersede(self):
+        self.attempt += 1
+        self.assembly.begin_attempt(self.attempt)
+
+    @rule(
+        attempt=st.integers(-1, 1),
+        offset=st.integers(-2, 2),
+        size=st.integers(0, 3),
+        own=st.booleans(),
+    )
+    def send(self, attempt, offset, size, own):
+        start = max(0, self.length + offset)
+        tokens = TRUTH[start : start + size]
+        finished = bool(tokens) and start + size >= LENGTH
+        fits = own and not attempt and start == self.length
+        fits = fits and self.length < LENGTH
+        verdict = self.assembly.take(
+            Chunk(
+                'own' if own else 'other',
+                self.attempt + attempt,
+                start,
+                tokens,
+                finished,
+            )
+        )
+        assert (verdict is ChunkVerdict.taken) == fits
+        self.length += len(tokens) if fits else 0
+
+    @invariant()
+    def text_is_true(self):
+        assert tuple(self.assembly.tokens) == TRUTH[: self.length]
+
+
+AssemblyMachine.TestCase.settings = settings(
+    max_examples=200, stateful_step_count=40
+)
+StatefulAssemblyTest = AssemblyMachine.TestCase
