--- a/src/monsoonwall/decisions/assembly.py
+++ b/src/monsoonwall/decisions/assembly.py
@@ -44,7 +44,7 @@
         self.finished = False
         self._request_id = request_id
         self._limit = limit
-        self._attempt = 0
+        self.attempt = 0
 
     @property
     def full(self) -> bool:
@@ -53,9 +53,9 @@
 
     def begin_attempt(self, number: int) -> None:
         """Take chunks of this attempt only, from now on."""
-        if number <= self._attempt:
-            raise ValueError(f'attempt {number} follows {self._attempt}')
-        self._attempt = number
+        if number <= self.attempt:
+            raise ValueError(f'attempt {number} follows {self.attempt}')
+        self.attempt = number
 
     def take(self, chunk: Chunk) -> ChunkVerdict:
         """Add a chunk that fits; return what became of it."""
@@ -67,9 +67,9 @@
 
     def _judge(self, chunk: Chunk) -> ChunkVerdict:
         known_request = chunk.request_id == self._request_id
-        if not known_request or chunk.attempt > self._attempt:
+        if not known_request or chunk.attempt > self.attempt:
             return ChunkVerdict.foreign
-        if chunk.attempt < self._attempt or self.finished:
+        if chunk.attempt < self.attempt or self.finished:
             return ChunkVerdict.late
         if chunk.offset > len(self.tokens):
             return ChunkVerdict.missing
--- /dev/null
+++ b/src/monsoonwall/decisions/leaving.py
@@ -0,0 +1,49 @@
+"""Tell every entry host which backend servers are leaving.
+
+The record is a fact of the board, so that it reaches hosts whose own view of
+the platform lags, and outlives the host that saw the notice first.
+"""
+
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Final
+
+from msgspec import DecodeError, ValidationError, msgpack
+
+from monsoonwall.mesh.board import Board, Fact
+
+LEAVING_KIND: Final = 'leaving'
+# The fact outlives the deadline so that a server which ends a little late
+# is not taken for a crashed one. A new server of that name waits it out.
+_KEEP_SECONDS: Final = 30.0
+
+
+@dataclass(frozen=True)
+class LeavingServer:
+    """Name a backend server that will stop, and when at the latest."""
+
+    server: str
+    deadline_wall: float
+
+
+def make_leaving_fact(leaving: LeavingServer) -> Fact:
+    """Return the fact that spreads a notice."""
+    return Fact(
+        LEAVING_KIND,
+        leaving.server,
+        msgpack.encode(leaving),
+        leaving.deadline_wall + _KEEP_SECONDS,
+    )
+
+
+def read_leaving_servers(
+    board: Board, now_wall: float
+) -> dict[str, LeavingServer]:
+    """Return the leaving servers by name; damaged facts are passed over."""
+    found: dict[str, LeavingServer] = {}
+    for fact in board.read_facts(LEAVING_KIND):
+        if fact.expires_wall <= now_wall:
+            continue
+        with suppress(DecodeError, ValidationError):
+            found[fact.key] = msgpack.decode(fact.payload, type=LeavingServer)
+    return found
--- /dev/null
+++ b/src/monsoonwall/entry/copying.py
@@ -0,0 +1,117 @@
+"""Compose what keeps requests alive when entry hosts go."""
+
+import asyncio
+from typing import Any, Final
+
+from monsoonwall.clocks import Clock
+from monsoonwall.entry.requests import RequestTasks
+from monsoonwall.entry.state import HostState
+from monsoonwall.mesh.peers import Peer, Peers
+from monsoonwall.metrics import ABANDONED
+from monsoonwall.pipeline.answers import (
+    Answer,
+    AnswerTable,
+    Interruption,
+    InterruptionKind,
+)
+from monsoonwall.pipeline.messages import AttemptEnding, AttemptFailure
+from monsoonwall.settings import EntrySettings
+from monsoonwall.streams.finding import Finder
+from monsoonwall.streams.holdings import Holdings
+from monsoonwall.streams.replication import Replicator
+from monsoonwall.streams.servicer import AnswersService
+
+# A caller whose connection broke has this long until generation pauses; it
+# goes on when the caller comes back before the answer is forgotten.
+PAUSE_SECONDS: Final = 30.0
+FORGET_SECONDS: Final = 60.0
+_STEP_SECONDS: Final = 1.0
+_UNREAD: Final = AttemptFailure(
+    AttemptEnding.cancelled, 'no caller follows the answer', True
+)
+
+
+class UpkeepTask:
+    """Look after answers and copies that nobody reads."""
+
+    def __init__(
+        self,
+        answers: AnswerTable,
+        holdings: Holdings,
+        replicator: Replicator,
+        clock: Clock,
+    ) -> None:
+        self._answers = answers
+        self._holdings = holdings
+        self._replicator = replicator
+        self._clock = clock
+        self._unread_since: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        while True:
+            self.sweep()
+            await asyncio.sleep(_STEP_SECONDS)
+
+    def sweep(self) -> None:
+        """Pause, then forget, the answers unread for long."""
+        now = self._clock.read_monotonic()
+        self._holdings.drop_expired()
+        before = self._unread_since
+        self._unread_since = {
+            answer.call.request_id: before.get(answer.call.request_id, now)
+            for answer in self._answers.list_answers()
+            if not answer.readers
+        }
+        for request_id, since in list(self._unread_since.items()):
+            answer = self._answers.find(request_id)
+            if answer is not None:
+                self._treat(answer, now - since)
+
+    def _treat(self, answer: Answer, unread_seconds: float) -> None:
+        if answer.running is not None:
+            if unread_seconds >= PAUSE_SECONDS:
+                ABANDONED.inc()
+                answer.running.interrupt(
+                    Interruption(InterruptionKind.abandoned, _UNREAD)
+                )
+        elif not answer.active and unread_seconds >= FORGET_SECONDS:
+            self._answers.forget(answer.call.request_id)
+            self._replicator.forget(answer.call.request_id)
+
+
+def describe_host(settings: EntrySettings) -> Peer:
+    """Return this host as its peers know it, whenever it started."""
+    return Peer(
+        settings.host_name,
+        settings.zone,
+        settings.region,
+        settings.mesh_address,
+        incarnation=0,
+    )
+
+
+class Copying:
+    """Own the copies here, those on peers, and the tasks of requests."""
+
+    def __init__(
+        self, state: HostState, clock: Clock, own: Peer, peers: Peers
+    ) -> None:
+        holdings = Holdings(clock)
+        self._replicator = Replicator(own, peers, clock)
+        self._upkeep = UpkeepTask(
+            state.answers, holdings, self._replicator, clock
+        )
+        self.tasks = RequestTasks(state, clock, self._replicator, holdings)
+        self.finder = Finder(own.name, peers, self.tasks)
+        self._service = AnswersService(self.tasks, holdings)
+
+    def register(self, server: Any) -> None:
+        """Add the service for other entry hosts to the mesh's server."""
+        self._service.register(server)
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._replicator.run())
+            group.create_task(self._upkeep.run())
--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -10,8 +10,9 @@
 from monsoonwall.clocks import Clock
 from monsoonwall.configuration.model import Configuration
 from monsoonwall.entry.configuring import ConfigurationTask
+from monsoonwall.entry.copying import Copying, describe_host
 from monsoonwall.entry.meshing import Mesh
-from monsoonwall.entry.requests import RequestTasks
+from monsoonwall.entry.reclaiming import Reclaiming
 from monsoonwall.entry.state import HostState, Serving
 from monsoonwall.entry.web import make_application, make_routes
 from monsoonwall.logs import make_logger
@@ -40,11 +41,16 @@
         self._clock = clock
         self._state = HostState()
         self._pool = BackendPool(clock)
-        self._tasks = RequestTasks(self._state, clock)
         self._client = AsyncHTTPClient(force_instance=True)
         self._stopping = asyncio.Event()
         store = HttpObjectStore(settings.platform_address, self._client, clock)
         self._mesh = Mesh(settings, clock)
+        own = describe_host(settings)
+        self._copying = Copying(self._state, clock, own, self._mesh.peers)
+        self._tasks = self._copying.tasks
+        self._reclaiming = Reclaiming(
+            settings, self._state, self._pool, self._mesh, clock
+        )
         self._configuring = ConfigurationTask(store, clock, self.adopt)
 
     async def run(self) -> None:
@@ -52,13 +58,17 @@
         loop = asyncio.get_running_loop()
         for asked in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(asked, self._stopping.set)
-        await self._mesh.start()
+        await self._mesh.start((self._copying.register,))
         server = self._listen()
-        configuring = asyncio.create_task(self._configuring.run())
+        running = [
+            asyncio.create_task(task.run())
+            for task in (self._configuring, self._copying, self._reclaiming)
+        ]
         _log.info('Entry host started.', address=self._settings.listen_address)
         await self._stopping.wait()
         await self._shut_down(server)
-        configuring.cancel()
+        for task in running:
+            task.cancel()
 
     def adopt(self, configuration: Configuration) -> None:
         """Put a configuration in force for requests accepted from now on."""
@@ -81,7 +91,9 @@
 
     def _listen(self) -> HTTPServer:
         server = HTTPServer(
-            make_application(make_routes(self._state, self._tasks)),
+            make_application(
+                make_routes(self._state, self._tasks, self._copying.finder)
+            ),
             max_body_size=self._settings.max_body_bytes,
         )
         host, port = split_address(self._settings.listen_address)
--- /dev/null
+++ b/src/monsoonwall/entry/reclaiming.py
@@ -0,0 +1,134 @@
+"""Learn which backend servers are leaving, tell the others, move streams."""
+
+import asyncio
+from typing import Final
+
+from returns.pipeline import is_successful
+from tornado.httpclient import AsyncHTTPClient
+
+from monsoonwall.backends.pool import BackendPool
+from monsoonwall.clocks import Clock
+from monsoonwall.decisions.copies import is_watcher
+from monsoonwall.decisions.leaving import (
+    LEAVING_KIND,
+    LeavingServer,
+    make_leaving_fact,
+    read_leaving_servers,
+)
+from monsoonwall.entry.copying import describe_host
+from monsoonwall.entry.meshing import Mesh
+from monsoonwall.entry.state import HostState
+from monsoonwall.logs import make_logger
+from monsoonwall.mesh.board import Board
+from monsoonwall.mesh.peers import Peer, Peers
+from monsoonwall.platform.cloud import CloudApi
+from monsoonwall.platform.http_cloud import HttpCloudApi
+from monsoonwall.settings import EntrySettings
+from monsoonwall.streams.moves import Mover
+
+_WAIT_SECONDS: Final = 20.0
+_RETRY_SECONDS: Final = 0.5
+_STEP_SECONDS: Final = 0.1
+_IDLE_SECONDS: Final = 1.0
+
+_log = make_logger('reclaiming')
+
+
+class NoticeTask:
+    """Publish the cloud's reclaim notices as facts.
+
+    Two hosts of each zone watch the cloud, so that a part of the network
+    that is cut off learns of its own zone's reclaims.
+    """
+
+    def __init__(
+        self,
+        cloud: CloudApi,
+        board: Board,
+        peers: Peers,
+        own: Peer,
+        clock: Clock,
+    ) -> None:
+        self._cloud = cloud
+        self._board = board
+        self._peers = peers
+        self._own = own
+        self._clock = clock
+        self._number = 0
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            if is_watcher(self._own, self._peers.list_peers()):
+                await self._watch_once()
+            else:
+                await asyncio.sleep(_IDLE_SECONDS)
+
+    async def _watch_once(self) -> None:
+        deadline = self._clock.read_monotonic() + _WAIT_SECONDS
+        found = await self._cloud.wait_notices(self._number, deadline)
+        if not is_successful(found):
+            await asyncio.sleep(_RETRY_SECONDS)
+            return
+        for notice in found.unwrap():
+            self._number = max(self._number, notice.number)
+            _log.info('Reclaim announced.', server=notice.server)
+            leaving = LeavingServer(notice.server, notice.deadline_wall)
+            self._board.publish_fact(make_leaving_fact(leaving))
+
+
+class MoveTask:
+    """Move streams as long as servers that carry them are leaving."""
+
+    def __init__(self, board: Board, mover: Mover, clock: Clock) -> None:
+        self._board = board
+        self._mover = mover
+        self._clock = clock
+        self._arrivals = board.subscribe(LEAVING_KIND)
+
+    async def run(self) -> None:
+        """Move until cancelled."""
+        while True:
+            leaving = read_leaving_servers(self._board, self._clock.read_wall())
+            if leaving:
+                await self._mover.move(leaving)
+            await self._wait(_STEP_SECONDS if leaving else _IDLE_SECONDS)
+
+    async def _wait(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._arrivals.get()
+        except TimeoutError:
+            return
+
+
+class Reclaiming:
+    """Compose the tasks that deal with leaving backend servers."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        state: HostState,
+        pool: BackendPool,
+        mesh: Mesh,
+        clock: Clock,
+    ) -> None:
+        mover = Mover(state.answers, pool, clock, state.find_dispatcher)
+        self._moves = MoveTask(mesh.board, mover, clock)
+        self._client = AsyncHTTPClient(force_instance=True)
+        self._notices: NoticeTask | None = None
+        if settings.cloud_address:
+            self._notices = NoticeTask(
+                HttpCloudApi(settings.cloud_address, self._client, clock),
+                mesh.board,
+                mesh.peers,
+                describe_host(settings),
+                clock,
+            )
+
+    async def run(self) -> None:
+        """Work until cancelled; without a cloud API, on facts alone."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._moves.run())
+            if self._notices is not None:
+                group.create_task(self._notices.run())
--- a/src/monsoonwall/entry/requests.py
+++ b/src/monsoonwall/entry/requests.py
@@ -1,7 +1,8 @@
 """Carry accepted requests through the stages."""
 
 import asyncio
-from typing import Final
+from collections.abc import Coroutine
+from typing import Any, Final
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -9,7 +10,12 @@
 from monsoonwall.clocks import Clock
 from monsoonwall.entry.state import HostState, Serving
 from monsoonwall.logs import make_logger
-from monsoonwall.metrics import REFUSALS, REQUESTS, RUNNING_REQUESTS
+from monsoonwall.metrics import (
+    REFUSALS,
+    REQUESTS,
+    RUNNING_REQUESTS,
+    TAKEOVERS,
+)
 from monsoonwall.pipeline.acceptance import CallerRequest
 from monsoonwall.pipeline.answers import Answer
 from monsoonwall.pipeline.messages import (
@@ -19,22 +25,35 @@
     RefusalReason,
     ServiceReply,
 )
+from monsoonwall.streams.holdings import Holdings
+from monsoonwall.streams.replication import Replicator
+from monsoonwall.streams.runner import AnswerRunner
 
 _RETRY_AFTER_SECONDS: Final = 1.0
-_KEEP_ANSWER_SECONDS: Final = 60.0
+# Enough for two tries at a peer that does not answer.
+_HAND_OVER_SECONDS: Final = 1.0
+_FAREWELL_SECONDS: Final = 0.1
 
 _log = make_logger('requests')
 
 
-class RequestTasks:
+class RequestTasks(AnswerRunner):
     """Start one task for each accepted request and follow it to its end."""
 
-    def __init__(self, state: HostState, clock: Clock) -> None:
+    def __init__(
+        self,
+        state: HostState,
+        clock: Clock,
+        replicator: Replicator,
+        holdings: Holdings,
+    ) -> None:
         self._state = state
         self._clock = clock
-        self._running: set[asyncio.Task[None]] = set()
+        self._replicator = replicator
+        self._holdings = holdings
+        self._running: set[asyncio.Task[Any]] = set()
 
-    def start_completion(
+    async def start_completion(
         self, request: CallerRequest, chat: bool
     ) -> Result[tuple[Answer, bool], Refusal]:
         """Return the growing answer and whether its caller streams."""
@@ -51,12 +70,39 @@
         screened = self._enter(serving.unwrap(), wanted.call)
         if not is_successful(screened):
             return Failure(screened.failure())
-        answer = self._state.answers.open_answer(wanted.call)
-        self._start(
-            self._run_completion(serving.unwrap(), answer, screened.unwrap())
+        answer = await self._place(
+            serving.unwrap(), wanted.call, screened.unwrap()
         )
+        if self._state.leaving:
+            self._leave(serving.unwrap(), answer.call)
+            self._replicator.forget(answer.call.request_id)
+            return Failure(_refuse_leaving())
+        self._state.answers.add(answer)
+        self._run(serving.unwrap(), answer, admitted=True)
         return Success((answer, wanted.stream))
 
+    def find_answer(self, request_id: str) -> Answer | None:
+        """Return an answer that this host has, being filled if not ended."""
+        answer = self._state.answers.find(request_id)
+        if answer is None or answer.handed_over:
+            return None
+        self._continue(answer)
+        return answer
+
+    def take_over(self, request_id: str, reason: str) -> Answer | None:
+        """Run a request whose copy is here; None if it is not."""
+        if self._state.leaving or self._state.serving is None:
+            return None
+        answer = self._holdings.release(request_id)
+        if answer is None:
+            return None
+        _log.info('Request taken over.', request=request_id, reason=reason)
+        TAKEOVERS.labels(reason).inc()
+        self._state.answers.add(answer)
+        self._replicator.track(answer)
+        self._continue(answer)
+        return answer
+
     async def run_service_call(
         self, request: CallerRequest, service: str
     ) -> Result[ServiceReply, Refusal]:
@@ -84,17 +130,30 @@
         )
 
     async def drain(self, deadline: float) -> int:
-        """Wait for running requests; return how many are left."""
+        """Wait for running requests, then hand them over; return the rest.
+
+        ``deadline`` is in monotonic seconds.
+        """
+        handing_over_at = deadline - _HAND_OVER_SECONDS
+        await self._wait_running(handing_over_at)
+        running = self._state.answers.list_running()
+        moved = await self._replicator.hand_over(running)
+        if running:
+            _log.info('Requests handed over.', moved=moved, of=len(running))
+        # Callers are told where their answers go on before all ends.
+        await asyncio.sleep(_FAREWELL_SECONDS)
+        await self._wait_running(deadline)
+        return len(self._running)
+
+    async def _wait_running(self, deadline: float) -> None:
         remaining = deadline - self._clock.read_monotonic()
-        if self._running and remaining > 0:
+        while self._running and remaining > 0:
             await asyncio.wait(self._running, timeout=remaining)
-        return len(self._running)
+            remaining = deadline - self._clock.read_monotonic()
 
     def _find_serving(self) -> Result[Serving, Refusal]:
         if self._state.leaving:
-            return Failure(
-                _refuse_for_now(RefusalReason.leaving, 'this host is leaving')
-            )
+            return Failure(_refuse_leaving())
         if self._state.serving is None:
             return Failure(
                 _refuse_for_now(
@@ -115,29 +174,45 @@
         RUNNING_REQUESTS.inc()
         return screened
 
-    def _start(self, work):
+    async def _place(
+        self, serving: Serving, call: Call, isolated: bool
+    ) -> Answer:
+        # The version is chosen before the copy is made, so that whoever
+        # takes the request over goes on with the same one.
+        version = serving.dispatcher.choose_version(call)
+        return await self._replicator.place(call, version, isolated)
+
+    def _start(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.create_task(work)
         self._running.add(task)
         task.add_done_callback(self._running.discard)
         return task
 
+    def _continue(self, answer: Answer) -> None:
+        serving = self._state.serving
+        if serving and not answer.active and not answer.ended:
+            RUNNING_REQUESTS.inc()
+            self._run(serving, answer, admitted=False)
+
+    def _run(self, serving: Serving, answer: Answer, admitted: bool) -> None:
+        answer.active = True
+        self._start(self._run_completion(serving, answer, admitted))
+
     async def _run_completion(
-        self, serving: Serving, answer: Answer, isolated: bool
+        self, serving: Serving, answer: Answer, admitted: bool
     ) -> None:
         try:
-            await serving.dispatcher.run_model_call(answer, isolated)
+            await serving.dispatcher.run_model_call(
+                answer, answer.isolated, answer.next_attempt
+            )
         except Exception as error:
             _log.opt(exception=error).error('Request ended by a defect.')
             answer.refuse(_refuse_defect())
         finally:
-            self._leave(serving, answer.call)
+            answer.active = False
+            self._leave(serving, answer.call, admitted)
         if answer.refusal is not None:
             count_refusal(answer.refusal)
-        asyncio.get_running_loop().call_later(
-            _KEEP_ANSWER_SECONDS,
-            self._state.answers.forget,
-            answer.call.request_id,
-        )
 
     async def _run_service_call(
         self, serving: Serving, call: Call, isolated: bool
@@ -150,8 +225,12 @@
         finally:
             self._leave(serving, call)
 
-    def _leave(self, serving: Serving, call: Call) -> None:
-        serving.admission.release(call, self._clock.read_monotonic())
+    def _leave(
+        self, serving: Serving, call: Call, admitted: bool = True
+    ) -> None:
+        # A request that was taken over was admitted by another host.
+        if admitted:
+            serving.admission.release(call, self._clock.read_monotonic())
         RUNNING_REQUESTS.dec()
 
 
@@ -160,6 +239,10 @@
     REFUSALS.labels(refusal.reason, refusal.effect).inc()
 
 
+def _refuse_leaving() -> Refusal:
+    return _refuse_for_now(RefusalReason.leaving, 'this host is leaving')
+
+
 def _refuse_for_now(reason: RefusalReason, detail: str) -> Refusal:
     return Refusal(reason, Effect.not_run, detail, _RETRY_AFTER_SECONDS)
 
--- a/src/monsoonwall/entry/responses.py
+++ b/src/monsoonwall/entry/responses.py
@@ -5,7 +5,7 @@
 
 from msgspec import json
 
-from monsoonwall.pipeline.answers import Answer, Piece, Position
+from monsoonwall.pipeline.answers import Piece, Position
 from monsoonwall.pipeline.messages import Call, Refusal, RefusalReason
 
 SERVICE_UNAVAILABLE: Final = 503
@@ -75,10 +75,16 @@
     return events
 
 
-def describe_answer(answer: Answer) -> dict[str, Any]:
-    """Return the whole answer as one JSON body."""
-    call = answer.call
-    text = ''.join(answer.tokens)
+def make_resume_path(call: Call) -> str:
+    """Return where any entry host gives the whole answer of a request."""
+    return f'/v1/requests/{call.request_id}?whole=true'
+
+
+def describe_answer(
+    call: Call, tokens: list[str], last: Piece
+) -> dict[str, Any]:
+    """Return the whole answer, which ended with a piece, as a JSON body."""
+    text = ''.join(tokens)
     choice: dict[str, Any] = {'index': 0, 'finish_reason': 'stop'}
     if call.chat:
         choice['message'] = {'role': 'assistant', 'content': text}
@@ -90,9 +96,9 @@
         'model': call.route,
         'choices': [choice],
         'usage': {
-            'prompt_tokens': answer.prompt_tokens,
-            'completion_tokens': len(answer.tokens),
-            'prompt_tokens_details': {'cached_tokens': answer.cached_tokens},
+            'prompt_tokens': last.prompt_tokens,
+            'completion_tokens': len(tokens),
+            'prompt_tokens_details': {'cached_tokens': last.cached_tokens},
         },
     }
 
--- a/src/monsoonwall/entry/state.py
+++ b/src/monsoonwall/entry/state.py
@@ -27,3 +27,7 @@
     serving: Serving | None = None
     leaving: bool = False
     answers: AnswerTable = field(default_factory=AnswerTable)
+
+    def find_dispatcher(self) -> Dispatcher | None:
+        """Return the dispatcher in force, None before the first one."""
+        return self.serving.dispatcher if self.serving else None
--- a/src/monsoonwall/entry/web.py
+++ b/src/monsoonwall/entry/web.py
@@ -1,6 +1,8 @@
 """Serve callers over HTTP."""
 
+import asyncio
 import math
+from contextlib import aclosing, suppress
 from typing import Any, Final
 
 from msgspec import json
@@ -17,19 +19,22 @@
     describe_answer,
     describe_refusal,
     format_event,
+    make_resume_path,
     parse_event_id,
 )
 from monsoonwall.entry.state import HostState
 from monsoonwall.pipeline.acceptance import CallerRequest
-from monsoonwall.pipeline.answers import Answer, Position
+from monsoonwall.pipeline.answers import Piece, Position
 from monsoonwall.pipeline.messages import (
     Effect,
     Refusal,
     RefusalReason,
 )
+from monsoonwall.streams.finding import Finder, Found, refuse_unknown
 
 _JSON: Final = 'application/json'
 _SERVER_FAULT: Final = 500
+_SEE_OTHER: Final = 303
 
 
 class JsonHandler(RequestHandler):
@@ -68,26 +73,45 @@
 
 
 class _AnswerHandler(JsonHandler):
-    async def stream_answer(self, answer: Answer, seen: Position) -> None:
-        """Send the answer past a position as server-sent events."""
+    def prepare(self) -> None:
+        """Note that nothing is being sent yet."""
+        self._sending: asyncio.Task[None] | None = None
+
+    async def send_answer(self, found: Found, stream: bool) -> None:
+        """Send the answer, streamed or whole, unless the caller hangs up."""
+        self.set_header('X-Request-Id', found.call.request_id)
+        work = self._stream(found) if stream else self._send_whole(found)
+        self._sending = asyncio.create_task(work)
+        with suppress(asyncio.CancelledError, StreamClosedError):
+            await self._sending
+
+    def on_connection_close(self) -> None:
+        """Stop following the answer, which may go on without its caller."""
+        if self._sending is not None:
+            self._sending.cancel()
+
+    async def _stream(self, found: Found) -> None:
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header('Cache-Control', 'no-store')
-        self.set_header('X-Request-Id', answer.call.request_id)
-        try:
-            async for piece in answer.follow(seen):
-                self.write(format_event(answer.call, piece))
+        async with aclosing(found.pieces) as pieces:
+            async for piece in pieces:
+                self.write(format_event(found.call, piece))
                 await self.flush()
-        except StreamClosedError:
-            return
         self.finish()
 
-    async def send_whole(self, answer: Answer) -> None:
-        """Send the answer as one body once it is whole."""
-        await answer.wait_end()
-        if answer.refusal is not None:
-            self.refuse(answer.refusal, answer.call.request_id)
-            return
-        self.write_json(describe_answer(answer))
+    async def _send_whole(self, found: Found) -> None:
+        tokens: list[str] = []
+        last = Piece(0, ())
+        async with aclosing(found.pieces) as pieces:
+            async for piece in pieces:
+                tokens.extend(piece.tokens)
+                last = piece
+        if last.handed_over:
+            self.redirect(make_resume_path(found.call), status=_SEE_OTHER)
+        elif last.refusal is None:
+            self.write_json(describe_answer(found.call, tokens, last))
+        else:
+            self.refuse(last.refusal, found.call.request_id)
 
 
 class CompletionHandler(_AnswerHandler):
@@ -100,41 +124,37 @@
 
     async def post(self) -> None:
         """Answer one completion, streamed or whole."""
-        started = self._tasks.start_completion(
+        started = await self._tasks.start_completion(
             self.make_caller_request(self.request.path), self._chat
         )
         if not is_successful(started):
             self.refuse(started.failure())
             return
         answer, stream = started.unwrap()
-        if stream:
-            await self.stream_answer(answer, Position())
-        else:
-            await self.send_whole(answer)
+        found = Found(answer.call, answer.follow(Position()))
+        await self.send_answer(found, stream)
 
 
 class ResumeHandler(_AnswerHandler):
     """Give the rest of an answer to a caller that comes back."""
 
-    def initialize(self, state: HostState) -> None:
+    def initialize(self, finder: Finder) -> None:
         """Take what the handler works with."""
-        self._state = state
+        self._finder = finder
 
     async def get(self, request_id: str) -> None:
-        """Stream the answer past the last event that the caller saw."""
-        answer = self._state.answers.find(request_id)
-        if answer is None:
-            self.refuse(
-                Refusal(
-                    RefusalReason.unknown_request,
-                    Effect.unknown,
-                    'no entry host knows this request',
-                ),
-                request_id,
-            )
-            return
+        """Send the answer past the last event that the caller saw.
+
+        With ``whole=true`` the whole answer is sent as one JSON body.
+        """
+        whole = self.get_argument('whole', '') == 'true'
         last_event = self.request.headers.get('Last-Event-ID', '')
-        await self.stream_answer(answer, parse_event_id(last_event))
+        seen = Position() if whole else parse_event_id(last_event)
+        found = await self._finder.find(request_id, seen)
+        if found is None:
+            self.refuse(refuse_unknown(), request_id)
+            return
+        await self.send_answer(found, stream=not whole)
 
 
 class ServiceHandler(JsonHandler):
@@ -214,7 +234,9 @@
         )
 
 
-def make_routes(state: HostState, tasks: RequestTasks) -> list[Any]:
+def make_routes(
+    state: HostState, tasks: RequestTasks, finder: Finder
+) -> list[Any]:
     """Return the paths that callers use."""
     return [
         (
@@ -227,7 +249,7 @@
             CompletionHandler,
             {'tasks': tasks, 'chat': True},
         ),
-        ('/v1/requests/([^/]+)', ResumeHandler, {'state': state}),
+        ('/v1/requests/([^/]+)', ResumeHandler, {'finder': finder}),
         ('/services/([^/]+)(/.*)', ServiceHandler, {'tasks': tasks}),
         ('/health', HealthHandler, {'state': state, 'ready': False}),
         ('/ready', HealthHandler, {'state': state, 'ready': True}),
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -58,3 +58,22 @@
 RUNNING_REQUESTS = Gauge(
     'monsoonwall_running_requests', 'Requests accepted and not ended.'
 )
+STREAM_MOVES = Counter(
+    'monsoonwall_stream_moves_total',
+    'Streams moved off leaving backend servers, by how.',
+    ('kind',),
+)
+COPIES = Counter(
+    'monsoonwall_request_copies_total',
+    'Copies of accepted requests on other entry hosts, by how it ended.',
+    ('ending',),
+)
+TAKEOVERS = Counter(
+    'monsoonwall_takeovers_total',
+    'Requests taken over from another entry host, by why.',
+    ('reason',),
+)
+ABANDONED = Counter(
+    'monsoonwall_abandoned_requests_total',
+    'Requests whose generation was paused since no caller followed.',
+)
--- a/src/monsoonwall/pipeline/answers.py
+++ b/src/monsoonwall/pipeline/answers.py
@@ -6,10 +6,11 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncGenerator, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Final
 
 from xxhash import xxh3_64, xxh3_64_hexdigest
 
@@ -24,6 +25,9 @@
     ServerChoice,
 )
 
+# Numbers apart let the attempts of successive owners never be confused.
+ATTEMPTS_PER_OWNER: Final = 1000
+
 
 @dataclass(frozen=True)
 class Piece:
@@ -39,6 +43,8 @@
     refusal: Refusal | None = None
     digest: str = ''
     handed_over: bool = False
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -78,13 +84,25 @@
 
 
 class Answer:
-    """Grow as attempts give tokens; end with the last or a refusal."""
+    """Grow as attempts give tokens; end with the last or a refusal.
+
+    ``takeovers`` counts the entry hosts that ran the request before this
+    one. ``active`` tells whether a task is filling the answer.
+    """
 
     def __init__(
-        self, call: Call, version: str = '', tokens: tuple[str, ...] = ()
+        self,
+        call: Call,
+        version: str = '',
+        isolated: bool = False,
+        takeovers: int = 0,
+        tokens: tuple[str, ...] = (),
     ) -> None:
         self.call = call
         self.version = version
+        self.isolated = isolated
+        self.takeovers = takeovers
+        self.active = False
         self.refusal: Refusal | None = None
         self.handed_over = False
         self.prompt_tokens = 0
@@ -115,6 +133,12 @@
         """Tell whether nothing will be added here."""
         return self.finished or self.refusal is not None or self.handed_over
 
+    @property
+    def next_attempt(self) -> int:
+        """Return the number of an attempt that no host has made yet."""
+        first = self.takeovers * ATTEMPTS_PER_OWNER + 1
+        return max(first, self._assembly.attempt + 1)
+
     def begin_attempt(self, number: int) -> None:
         """Take chunks of this attempt only, from now on."""
         self._assembly.begin_attempt(number)
@@ -142,7 +166,7 @@
         self.handed_over = True
         self._wake_readers()
 
-    async def follow(self, seen: Position) -> AsyncIterator[Piece]:
+    async def follow(self, seen: Position) -> AsyncGenerator[Piece, None]:
         """Yield what lies past a position, as it comes, to the end."""
         with self._count_reader():
             while len(self.tokens) < seen.offset and not self.ended:
@@ -156,13 +180,7 @@
             async for piece in self._follow_checked(seen.offset):
                 yield piece
 
-    async def wait_end(self) -> None:
-        """Return once nothing will be added."""
-        with self._count_reader():
-            while not self.ended:
-                await self._grown.wait()
-
-    async def _follow_checked(self, offset: int) -> AsyncIterator[Piece]:
+    async def _follow_checked(self, offset: int) -> AsyncGenerator[Piece, None]:
         position = offset
         while True:
             grown = self._grown
@@ -183,6 +201,8 @@
             self.refusal,
             self._hasher.hexdigest(),
             self.handed_over,
+            self.prompt_tokens,
+            self.cached_tokens,
         )
 
     @contextmanager
@@ -222,6 +242,10 @@
         """Return the answer of a request, if it is here."""
         return self._answers.get(request_id)
 
+    def list_answers(self) -> list[Answer]:
+        """Return the answers that are here."""
+        return list(self._answers.values())
+
     def list_running(self) -> list[Answer]:
         """Return the answers that have not ended."""
         return [one for one in self._answers.values() if not one.ended]
--- /dev/null
+++ b/src/monsoonwall/platform/http_cloud.py
@@ -0,0 +1,105 @@
+"""Call the cloud API over HTTP."""
+
+from typing import Any, Final
+
+from msgspec import DecodeError, ValidationError, json
+from returns.result import Failure, Result, Success
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
+from tornado.httputil import url_concat
+from tornado.simple_httpclient import HTTPTimeoutError
+
+from monsoonwall.clocks import Clock
+from monsoonwall.platform.cloud import (
+    CloudApi,
+    CloudFailure,
+    CloudHost,
+    HostOrder,
+    ReclaimNotice,
+)
+
+_CALL_TIMEOUT_SECONDS: Final = 5.0
+_CONNECT_TIMEOUT_SECONDS: Final = 1.0
+_CONFLICT: Final = 409
+_UNAVAILABLE: Final = 503
+
+
+class HttpCloudApi(CloudApi):
+    """Call the cloud API at one address with tornado's client."""
+
+    def __init__(
+        self, address: str, client: AsyncHTTPClient, clock: Clock
+    ) -> None:
+        self._address = address
+        self._client = client
+        self._clock = clock
+
+    async def wait_notices(
+        self, after: int, deadline: float
+    ) -> Result[tuple[ReclaimNotice, ...], CloudFailure]:
+        """Return the notices numbered above ``after``."""
+        remaining = max(0, deadline - self._clock.read_monotonic())
+        path = url_concat(
+            '/notices', {'after': after, 'wait_seconds': remaining}
+        )
+        answer = await self._fetch(path, remaining, method='GET')
+        return answer.bind(
+            lambda body: _decode(body, tuple[ReclaimNotice, ...])
+        )
+
+    async def list_hosts(
+        self,
+    ) -> Result[tuple[CloudHost, ...], CloudFailure]:
+        """Return the live and leaving hosts as known a while ago."""
+        answer = await self._fetch('/hosts', method='GET')
+        return answer.bind(lambda body: _decode(body, tuple[CloudHost, ...]))
+
+    async def start_host(
+        self, order: HostOrder
+    ) -> Result[CloudHost, CloudFailure]:
+        """Start a host, unless the cloud refuses."""
+        answer = await self._fetch(
+            '/hosts', method='POST', body=json.encode(order)
+        )
+        return answer.bind(lambda body: _decode(body, CloudHost))
+
+    async def stop_host(self, name: str) -> Result[None, CloudFailure]:
+        """Stop a host; one that is gone is no failure."""
+        answer = await self._fetch(f'/hosts/{name}', method='DELETE')
+        return answer.map(lambda _body: None)
+
+    async def _fetch(
+        self, path: str, waiting_seconds: float = 0, **options: Any
+    ) -> Result[bytes, CloudFailure]:
+        request = HTTPRequest(
+            f'http://{self._address}{path}',
+            connect_timeout=_CONNECT_TIMEOUT_SECONDS,
+            request_timeout=waiting_seconds + _CALL_TIMEOUT_SECONDS,
+            **options,
+        )
+        try:
+            response = await self._client.fetch(request)
+        except (HTTPError, OSError) as error:
+            return Failure(_classify_error(error))
+        return Success(response.body)
+
+
+def _decode(body: bytes, kind: Any) -> Result[Any, CloudFailure]:
+    try:
+        return Success(json.decode(body, type=kind))
+    except (DecodeError, ValidationError):
+        return Failure(CloudFailure.lost)
+
+
+def _classify_error(error: Exception) -> CloudFailure:
+    if isinstance(error, ConnectionRefusedError):
+        return CloudFailure.unavailable
+    if isinstance(error, HTTPTimeoutError):
+        connecting = 'connect' in str(error)
+        return CloudFailure.unavailable if connecting else CloudFailure.lost
+    if not isinstance(error, HTTPError):
+        return CloudFailure.lost
+    if error.code == _CONFLICT:
+        return CloudFailure.refused
+    if error.code == _UNAVAILABLE:
+        return CloudFailure.unavailable
+    return CloudFailure.lost
--- a/src/monsoonwall/settings.py
+++ b/src/monsoonwall/settings.py
@@ -43,6 +43,7 @@
     log_json: bool
     drain_seconds: float
     max_body_bytes: int
+    cloud_address: str = ''
 
 
 @dataclass(frozen=True)
@@ -81,6 +82,12 @@
         'Address of the platform, as host:port.',
         flag_values=values,
     )
+    DEFINE_string(
+        'cloud_address',
+        '',
+        'Address of the cloud API, as host:port; empty for none.',
+        flag_values=values,
+    )
     DEFINE_list(
         'peers',
         [],
@@ -153,7 +160,12 @@
         for name in ('host_name', 'zone', 'platform_address')
         if not values[name].value
     ]
-    for name in ('listen_address', 'mesh_address', 'platform_address'):
+    for name in (
+        'listen_address',
+        'mesh_address',
+        'platform_address',
+        'cloud_address',
+    ):
         findings.extend(check_address(f'--{name}', values[name].value))
     for peer in values['peers'].value:
         findings.extend(check_address('--peers', peer))
@@ -171,6 +183,7 @@
             log_json=values['log_json'].value,
             drain_seconds=values['drain_seconds'].value,
             max_body_bytes=values['max_body_bytes'].value,
+            cloud_address=values['cloud_address'].value,
         )
     )
 
--- /dev/null
+++ b/src/monsoonwall/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Keep streams alive when the hosts that carry them go."""
--- /dev/null
+++ b/src/monsoonwall/streams/codec.py
@@ -0,0 +1,128 @@
+"""Turn requests and answers into the messages between entry hosts."""
+
+from monsoonwall.clocks import Clock
+from monsoonwall.mesh.wire.answers_pb2 import (
+    OWNED,
+    AnswerPart,
+    Progress,
+    RefusalCopy,
+    RequestCopy,
+)
+from monsoonwall.pipeline.answers import Answer, Piece
+from monsoonwall.pipeline.messages import (
+    Call,
+    Effect,
+    Priority,
+    Refusal,
+    RefusalReason,
+)
+
+
+def encode_request(answer: Answer, clock: Clock) -> RequestCopy:
+    """Return the copy of an accepted request without its tokens."""
+    call = answer.call
+    remaining = call.deadline - clock.read_monotonic()
+    return RequestCopy(
+        request_id=call.request_id,
+        workspace=call.workspace,
+        route=call.route,
+        service=call.service,
+        priority=int(call.priority),
+        deadline_wall=clock.read_wall() + remaining,
+        content_key=call.content_key,
+        prompt=call.prompt,
+        max_tokens=call.max_tokens,
+        seed=call.seed,
+        chat=call.chat,
+        isolated=answer.isolated,
+        version=answer.version,
+        takeovers=answer.takeovers,
+    )
+
+
+def decode_call(copy: RequestCopy, clock: Clock) -> Call:
+    """Return the call, its deadline on this host's clock."""
+    remaining = copy.deadline_wall - clock.read_wall()
+    return Call(
+        request_id=copy.request_id,
+        workspace=copy.workspace,
+        route=copy.route,
+        service=copy.service,
+        priority=Priority(copy.priority),
+        idempotent=True,
+        idempotency_key=None,
+        deadline=clock.read_monotonic() + remaining,
+        content_key=copy.content_key,
+        prompt=copy.prompt,
+        max_tokens=copy.max_tokens,
+        seed=copy.seed,
+        chat=copy.chat,
+    )
+
+
+def encode_progress(answer: Answer, offset: int) -> Progress:
+    """Return what an answer has past an offset, and how it ended if so."""
+    return Progress(
+        request_id=answer.call.request_id,
+        takeovers=answer.takeovers,
+        offset=offset,
+        tokens=answer.tokens[offset:],
+        finished=answer.finished,
+        refusal=encode_refusal(answer.refusal),
+        prompt_tokens=answer.prompt_tokens,
+        cached_tokens=answer.cached_tokens,
+    )
+
+
+def encode_part(piece: Piece) -> AnswerPart:
+    """Return one piece of an answer for the host that relays it."""
+    return AnswerPart(
+        standing=OWNED,
+        offset=piece.offset,
+        tokens=piece.tokens,
+        finished=piece.finished,
+        refusal=encode_refusal(piece.refusal),
+        digest=piece.digest,
+        handed_over=piece.handed_over,
+        prompt_tokens=piece.prompt_tokens,
+        cached_tokens=piece.cached_tokens,
+    )
+
+
+def decode_piece(part: AnswerPart) -> Piece:
+    """Return the piece that another host sent."""
+    return Piece(
+        part.offset,
+        tuple(part.tokens),
+        part.finished,
+        decode_refusal(part),
+        part.digest,
+        part.handed_over,
+        part.prompt_tokens,
+        part.cached_tokens,
+    )
+
+
+def encode_refusal(refusal: Refusal | None) -> RefusalCopy | None:
+    """Return the message of a refusal, None for none."""
+    if refusal is None:
+        return None
+    return RefusalCopy(
+        reason=refusal.reason,
+        effect=refusal.effect,
+        detail=refusal.detail,
+        retry_after=refusal.retry_after or 0,
+    )
+
+
+def decode_refusal(holder: Progress | AnswerPart) -> Refusal | None:
+    """Return the refusal that a message holds, None if it holds none."""
+    if not holder.HasField('refusal'):
+        return None
+    sent = holder.refusal
+    return Refusal(
+        RefusalReason(sent.reason),
+        Effect(sent.effect),
+        sent.detail,
+        sent.retry_after or None,
+    )
--- /dev/null
+++ b/src/monsoonwall/streams/replication.py
@@ -0,0 +1,235 @@
+"""Keep each accepted request on a second entry host."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Final
+
+from monsoonwall.clocks import Clock
+from monsoonwall.decisions.copies import name_holder
+from monsoonwall.mesh.peers import Peer, Peers
+from monsoonwall.mesh.wire.answers_pb2 import BatchReply
+from monsoonwall.metrics import COPIES
+from monsoonwall.pipeline.answers import (
+    Answer,
+    Interruption,
+    InterruptionKind,
+)
+from monsoonwall.pipeline.messages import (
+    AttemptEnding,
+    AttemptFailure,
+    Call,
+)
+from monsoonwall.streams.codec import encode_progress, encode_request
+from monsoonwall.streams.links import Links, Parcel
+
+PROGRESS_SECONDS: Final = 0.2
+_PLACE_TRIES: Final = 2
+_ELSEWHERE: Final = AttemptFailure(
+    AttemptEnding.cancelled, 'another entry host runs the request', True
+)
+
+
+@dataclass
+class _Placement:
+    """Say what the holder of one answer's copy has."""
+
+    answer: Answer
+    holder: str | None = None
+    offset: int = 0
+    settled: bool = False
+
+    def is_done(self) -> bool:
+        """Tell whether the holder needs to hear no more."""
+        answer = self.answer
+        lone = answer.ended and self.holder is None
+        return self.settled or answer.handed_over or lone
+
+
+class Replicator:
+    """Place copies on peers and send the progress after them."""
+
+    def __init__(self, own: Peer, peers: Peers, clock: Clock) -> None:
+        self._clock = clock
+        self._links = Links(own, peers, clock)
+        self._placements: dict[str, _Placement] = {}
+
+    async def place(self, call: Call, version: str, isolated: bool) -> Answer:
+        """Return a call's answer, its copy on a peer if one was reached.
+
+        The call's id is made to name the holder.
+        """
+        for _ in range(_PLACE_TRIES):
+            holder = self._links.choose_holder(call.request_id)
+            if holder is None:
+                break
+            named = name_holder(call.request_id, holder)
+            answer = Answer(replace(call, request_id=named), version, isolated)
+            placement = _Placement(answer)
+            if await self._place_on(holder, [placement]):
+                self._placements[named] = placement
+                return answer
+        COPIES.labels('no_holder').inc()
+        answer = Answer(call, version, isolated)
+        self.track(answer)
+        return answer
+
+    def track(self, answer: Answer) -> None:
+        """Place a copy of a running answer with the next progress."""
+        request_id = answer.call.request_id
+        self._placements[request_id] = _Placement(answer)
+
+    def forget(self, request_id: str) -> None:
+        """Send nothing more of an answer."""
+        self._placements.pop(request_id, None)
+
+    async def run(self) -> None:
+        """Send progress until cancelled."""
+        while True:
+            await asyncio.sleep(PROGRESS_SECONDS)
+            await self.send_progress()
+
+    async def send_progress(self) -> None:
+        """Bring every copy up to date, or place it anew."""
+        self._drop_placements()
+        by_holder: dict[str | None, list[_Placement]] = {}
+        for placement in self._placements.values():
+            by_holder.setdefault(placement.holder, []).append(placement)
+        async with asyncio.TaskGroup() as group:
+            for holder, placements in by_holder.items():
+                group.create_task(self._update(holder, placements))
+
+    async def hand_over(self, answers: Iterable[Answer]) -> int:
+        """Let peers run these answers from now on; return how many do."""
+        by_holder: dict[str, list[_Placement]] = {}
+        for answer in answers:
+            known = self._placements.get(answer.call.request_id)
+            holder = known and known.holder
+            chosen = holder or self._links.choose_holder(answer.call.request_id)
+            if chosen is not None:
+                by_holder.setdefault(chosen, []).append(_Placement(answer))
+        async with asyncio.TaskGroup() as group:
+            sent = [
+                group.create_task(self._hand_over_to(holder, placements))
+                for holder, placements in by_holder.items()
+            ]
+        return sum(task.result() for task in sent)
+
+    async def _hand_over_to(
+        self, holder: str, placements: list[_Placement]
+    ) -> int:
+        # The holder may lack the latest tokens, and the whole text is sent
+        # once, so that nothing is computed again.
+        if not await self._place_on(holder, placements, handing_over=True):
+            return 0
+        for placement in placements:
+            _end_here(placement.answer)
+        return len(placements)
+
+    async def _place_on(
+        self,
+        holder: str,
+        placements: list[_Placement],
+        handing_over: bool = False,
+    ) -> bool:
+        ends = [len(placement.answer.tokens) for placement in placements]
+        parcels = [
+            self._pack(placement.answer, handing_over)
+            for placement in placements
+        ]
+        replies = await self._links.send(holder, parcels)
+        ending = 'lost' if replies is None else 'copied'
+        COPIES.labels(ending).inc(len(placements))
+        if replies is None:
+            return False
+        for placement, end in zip(placements, ends, strict=True):
+            placement.holder = holder
+            placement.offset = end
+        return True
+
+    def _pack(self, answer: Answer, handing_over: bool) -> Parcel:
+        progress = encode_progress(answer, 0)
+        progress.handed_over = handing_over
+        return Parcel(encode_request(answer, self._clock), progress)
+
+    async def _update(
+        self, holder: str | None, placements: list[_Placement]
+    ) -> None:
+        if holder is None:
+            await self._place_again(placements)
+            return
+        due = [one for one in placements if _has_news(one)]
+        if not due:
+            return
+        ends = [len(one.answer.tokens) for one in due]
+        ended = [one.answer.ended for one in due]
+        parcels = [
+            Parcel(progress=encode_progress(one.answer, one.offset))
+            for one in due
+        ]
+        replies = await self._links.send(holder, parcels)
+        if replies is None:
+            # All of its copies may be gone, also those without news.
+            _reset(placements)
+            return
+        for index, placement in enumerate(due):
+            placement.offset = ends[index]
+            placement.settled = ended[index]
+        self._heed(replies)
+
+    def _heed(self, replies: list[BatchReply]) -> None:
+        for reply in replies:
+            unknown = [
+                self._placements[request_id]
+                for request_id in reply.unknown
+                if request_id in self._placements
+            ]
+            _reset(unknown)
+            for request_id in reply.taken_over:
+                self._yield_to_holder(request_id)
+
+    def _yield_to_holder(self, request_id: str) -> None:
+        placement = self._placements.get(request_id)
+        # A caller that follows here is served here to the end.
+        if placement is not None and not placement.answer.readers:
+            _end_here(placement.answer)
+
+    async def _place_again(self, placements: list[_Placement]) -> None:
+        by_holder: dict[str, list[_Placement]] = {}
+        for placement in placements:
+            holder = self._links.choose_holder(placement.answer.call.request_id)
+            if holder is not None:
+                by_holder.setdefault(holder, []).append(placement)
+        for name, chosen in by_holder.items():
+            await self._place_on(name, chosen)
+
+    def _drop_placements(self) -> None:
+        self._placements = {
+            request_id: placement
+            for request_id, placement in self._placements.items()
+            if not placement.is_done()
+        }
+        now = self._clock.read_monotonic()
+        self._suspects = {
+            name: until for name, until in self._suspects.items() if until > now
+        }
+
+
+def _has_news(placement: _Placement) -> bool:
+    answer = placement.answer
+    return len(answer.tokens) > placement.offset or answer.ended
+
+
+def _reset(placements: Iterable[_Placement]) -> None:
+    for placement in placements:
+        placement.holder = None
+        placement.offset = 0
+        placement.settled = False
+
+
+def _end_here(answer: Answer) -> None:
+    answer.hand_over()
+    if answer.running is not None:
+        answer.running.interrupt(
+            Interruption(InterruptionKind.abandoned, _ELSEWHERE)
+        )
--- /dev/null
+++ b/src/monsoonwall/streams/servicer.py
@@ -0,0 +1,94 @@
+"""Serve the other entry hosts: keep their copies, give them answers."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+from monsoonwall.mesh.wire.answers_pb2 import (
+    HELD,
+    OWNED,
+    UNKNOWN,
+    AnswerPart,
+    Batch,
+    BatchReply,
+    FollowRequest,
+    Progress,
+)
+from monsoonwall.mesh.wire.answers_pb2_grpc import (
+    AnswersServicer,
+    add_AnswersServicer_to_server,
+)
+from monsoonwall.pipeline.answers import Answer, Position
+from monsoonwall.streams.codec import encode_part
+from monsoonwall.streams.holdings import Holdings
+from monsoonwall.streams.runner import AnswerRunner
+
+
+class AnswersService(AnswersServicer):
+    """Answer the calls of other entry hosts."""
+
+    def __init__(self, runner: AnswerRunner, holdings: Holdings) -> None:
+        self._runner = runner
+        self._holdings = holdings
+
+    def register(self, server: Any) -> None:
+        """Add this service to the mesh's gRPC server."""
+        add_AnswersServicer_to_server(self, server)
+
+    async def Replicate(self, request: Batch, context: Any) -> BatchReply:
+        """Keep copies and their progress."""
+        reply = BatchReply()
+        taken_over = {
+            copy.request_id
+            for copy in request.copies
+            if self._find_running(copy.request_id, copy.takeovers)
+        }
+        for copy in request.copies:
+            if copy.request_id not in taken_over:
+                self._holdings.keep(request.owner, copy)
+        for progress in request.progress:
+            if self._find_running(progress.request_id, progress.takeovers):
+                taken_over.add(progress.request_id)
+            elif not self._advance(progress):
+                reply.unknown.append(progress.request_id)
+        reply.taken_over.extend(sorted(taken_over))
+        return reply
+
+    async def Follow(
+        self, request: FollowRequest, context: Any
+    ) -> AsyncIterator[AnswerPart]:
+        """Stream an answer past an offset."""
+        answer = self._find_answer(request)
+        if answer is None:
+            held = self._holdings.find(request.request_id) is not None
+            yield AnswerPart(standing=HELD if held else UNKNOWN)
+            return
+        call = answer.call
+        yield AnswerPart(
+            standing=OWNED,
+            route=call.route,
+            service=call.service,
+            chat=call.chat,
+        )
+        async for piece in answer.follow(
+            Position(request.offset, request.digest)
+        ):
+            yield encode_part(piece)
+
+    def _find_answer(self, request: FollowRequest) -> Answer | None:
+        answer = self._runner.find_answer(request.request_id)
+        if answer is None and request.take_over:
+            return self._runner.take_over(request.request_id, 'owner_gone')
+        return answer
+
+    def _find_running(self, request_id: str, takeovers: int) -> bool:
+        # An owner that went on after another took over sends the lower
+        # number; so does this host's own former run.
+        answer = self._runner.find_answer(request_id)
+        return answer is not None and answer.takeovers > takeovers
+
+    def _advance(self, progress: Progress) -> bool:
+        handed_over = progress.handed_over
+        fitted = self._holdings.advance(progress)
+        if fitted and handed_over:
+            self._runner.take_over(progress.request_id, 'handed_over')
+        return fitted
--- a/tests/decisions/test_assembly.py
+++ b/tests/decisions/test_assembly.py
@@ -39,7 +39,7 @@
             sent.append(chunk)
         if fault == 'twice':
             sent.append(chunk)
-    if random.random() < 0.3:
+    if random.randrange(3) == 0:
         random.shuffle(sent)
     return sent
 
--- /dev/null
+++ b/tests/entry/test_entry_host_loss.py
@@ -0,0 +1,158 @@
+"""Lose entry hosts in the middle of answers."""
+
+import signal
+import unittest
+from http.client import HTTPConnection
+
+from msgspec import json
+
+from tests.standins.callers import Caller
+from tests.standins.deployment import (
+    API_KEY,
+    Deployment,
+    send,
+    start_small,
+    wait_until,
+)
+from tests.standins.engine import make_token
+
+LENGTH = 60
+PROMPT = 'list the packets of the depot'
+COMPLETION = {'prompt': PROMPT, 'max_tokens': LENGTH, 'seed': 7}
+WHOLE = ''.join(make_token(7, PROMPT, position) for position in range(LENGTH))
+ENTRIES = ('entry-0', 'entry-1', 'entry-2', 'entry-3')
+
+
+def count(deployment, name, metric):
+    """Return the value of one sample of a host's metrics, 0 if unset."""
+    lines = deployment.send(name, 'GET', '/metrics').body.decode().splitlines()
+    found = [line for line in lines if line.startswith(f'{metric} ')]
+    return float(found[0].split()[-1]) if found else 0
+
+
+class EntryHostLossTest(unittest.TestCase):
+    """Run four entry hosts, and one test each on an answer of one."""
+
+    def setUp(self):
+        self.deployment = self.enterContext(Deployment())
+        start_small(
+            self.deployment,
+            ledgers=0,
+            entries=len(ENTRIES),
+            flags=('--drain_seconds=2',),
+        )
+        for index in range(3):
+            self.deployment.control(f'engine-{index}', token_seconds=0.05)
+        for name in ENTRIES:
+            self.assertTrue(wait_until(lambda one=name: self.copies(one)))
+        self.caller = Caller()
+
+    def copies(self, name):
+        """Tell whether a host puts copies of its requests on a peer."""
+        reply = self.deployment.send(
+            name,
+            'POST',
+            '/v1/completions',
+            {'model': 'hotline', 'prompt': 'hi', 'max_tokens': 1},
+        )
+        return '~' in reply.headers['X-Request-Id']
+
+    def begin(self, name, tokens=10):
+        """Read the first tokens; return the holder and an uninvolved host."""
+        self.caller.begin(self.deployment.ports[name], **COMPLETION)
+        self.caller.read(tokens)
+        hosts = self.caller.request_id.rpartition('.')[0]
+        holder = hosts.partition('~')[2]
+        self.assertIn(holder, ENTRIES)
+        others = [one for one in ENTRIES if one not in {name, holder}]
+        return holder, others[0]
+
+    def resume_to_end(self, name):
+        self.caller.resume(self.deployment.ports[name])
+        self.caller.read()
+        self.assertEqual(self.caller.errors, [])
+        self.assertEqual(self.caller.text, WHOLE)
+        self.assertTrue(self.caller.done)
+
+    def test_killed_host(self):
+        _, other = self.begin('entry-0')
+        self.deployment.kill('entry-0')
+        self.caller.read()
+        self.assertFalse(self.caller.done)
+        self.resume_to_end(other)
+
+    def test_frozen_host(self):
+        _, other = self.begin('entry-0')
+        self.deployment.signal('entry-0', signal.SIGSTOP)
+        self.resume_to_end(other)
+
+    def test_host_and_holder_killed_one_after_the_other(self):
+        holder, other = self.begin('entry-0', tokens=5)
+        self.deployment.kill('entry-0')
+        self.caller.read()
+        self.caller.resume(self.deployment.ports[other])
+        self.caller.read(25)
+        self.deployment.kill(holder)
+        self.caller.read()
+        self.assertEqual(self.caller.text, WHOLE)
+        self.assertTrue(self.caller.done)
+
+    def test_caller_asks_another_host_of_a_live_owner(self):
+        _, other = self.begin('entry-0')
+        self.caller.close()
+        self.resume_to_end(other)
+        self.assertEqual(
+            count(
+                self.deployment,
+                other,
+                'monsoonwall_takeovers_total{reason="owner_gone"}',
+            ),
+            0,
+        )
+
+    def test_graceful_shutdown(self):
+        holder, other = self.begin('entry-0', tokens=1)
+        self.deployment.signal('entry-0', signal.SIGTERM)
+        self.caller.read()
+        self.assertTrue(self.caller.handed_over)
+        self.resume_to_end(other)
+        taken_over = 'monsoonwall_takeovers_total{reason="handed_over"}'
+        self.assertEqual(count(self.deployment, holder, taken_over), 1)
+        self.assertEqual(
+            self.deployment.processes['entry-0'].wait(timeout=20), 0
+        )
+
+    def test_graceful_shutdown_under_a_whole_answer(self):
+        port = self.deployment.ports['entry-0']
+        connection = HTTPConnection('127.0.0.1', port, timeout=20)
+        body = json.encode({'model': 'hotline', **COMPLETION})
+        key = {'Authorization': f'Bearer {API_KEY}'}
+        connection.request('POST', '/v1/completions', body, key)
+        wait_until(
+            lambda: count(
+                self.deployment, 'entry-0', 'monsoonwall_running_requests'
+            )
+        )
+        self.deployment.signal('entry-0', signal.SIGTERM)
+        response = connection.getresponse()
+        self.assertEqual(response.status, 303)
+        where = response.getheader('Location')
+        connection.close()
+        reply = send(self.deployment.ports['entry-1'], 'GET', where)
+        choice = reply.read_json()['choices'][0]
+        self.assertEqual(choice['text'], WHOLE)
+
+    def test_answer_that_went_on_differently_is_refused(self):
+        _, other = self.begin('entry-0')
+        self.caller.close()
+        request_id, offset, _ = self.caller.last_event_id.split(':')
+        self.caller.last_event_id = f'{request_id}:{offset}:0123456789abcdef'
+        self.caller.resume(self.deployment.ports[other])
+        self.caller.read()
+        self.assertEqual(self.caller.errors, ['answer_diverged'])
+
+    def test_unknown_request(self):
+        reply = self.deployment.send(
+            'entry-1', 'GET', '/v1/requests/entry-9~entry-8.0123'
+        )
+        self.assertEqual(reply.status, 404)
--- /dev/null
+++ b/tests/standins/callers.py
@@ -0,0 +1,82 @@
+"""Imitate a caller that reads a streamed answer and comes back for the rest."""
+
+from http.client import HTTPConnection, HTTPException
+
+from msgspec import json
+
+from tests.standins.deployment import API_KEY
+
+
+class Caller:
+    """Follow one answer over one connection after another."""
+
+    def __init__(self):
+        self.texts = []
+        self.last_event_id = ''
+        self.errors = []
+        self.done = False
+        self.handed_over = False
+        self._connection = None
+        self._response = None
+
+    @property
+    def text(self):
+        return ''.join(self.texts)
+
+    @property
+    def request_id(self):
+        return self.last_event_id.partition(':')[0]
+
+    def begin(self, port, **completion):
+        """Send a completion to be streamed."""
+        body = {'model': 'hotline', 'stream': True, **completion}
+        self._send(port, 'POST', '/v1/completions', json.encode(body), {})
+
+    def resume(self, port, request_id=''):
+        """Ask any entry host for the rest."""
+        self.handed_over = False
+        path = f'/v1/requests/{request_id or self.request_id}'
+        headers = {'Last-Event-ID': self.last_event_id}
+        self._send(port, 'GET', path, None, headers)
+
+    def read(self, tokens=None):
+        """Read so many tokens, or until the response ends."""
+        wanted = None if tokens is None else len(self.texts) + tokens
+        try:
+            while wanted is None or len(self.texts) < wanted:
+                line = self._response.readline()
+                if not line:
+                    break
+                self._take(line.decode().rstrip('\n'))
+        except (OSError, HTTPException):
+            return
+        if wanted is None:
+            self.close()
+
+    def close(self):
+        """Hang up."""
+        self._response.close()
+        self._connection.close()
+
+    def _send(self, port, method, path, body, headers):
+        self._connection = HTTPConnection('127.0.0.1', port, timeout=20)
+        sent = {'Authorization': f'Bearer {API_KEY}', **headers}
+        self._connection.request(method, path, body, sent)
+        self._response = self._connection.getresponse()
+
+    def _take(self, line):
+        field, _, content = line.partition(': ')
+        if field == 'id':
+            self.last_event_id = content
+        elif field == 'event':
+            self.handed_over = content == 'handed_over'
+        elif field == 'data' and content == '[DONE]':
+            self.done = True
+        elif field == 'data' and not self.handed_over:
+            self._take_data(json.decode(content))
+
+    def _take_data(self, event):
+        if 'error' in event:
+            self.errors.append(event['error']['code'])
+        elif event['choices'][0]['text']:
+            self.texts.append(event['choices'][0]['text'])
--- /dev/null
+++ b/tests/standins/cloud.py
@@ -0,0 +1,159 @@
+"""Imitate the cloud: hosts, reclaim notices and a weight store with a rate.
+
+POST /control sets ``outage``, ``refuse_zones`` (starts there are refused),
+``list_lag_seconds`` and ``weights_per_second`` (bytes, shared by all loads).
+POST /reclaims announces that hosts are taken away after some seconds.
+"""
+
+import asyncio
+import sys
+import time
+from contextlib import suppress
+
+from msgspec import json
+from tornado.ioloop import IOLoop
+from tornado.web import Application, RequestHandler
+
+
+def make_host(name):
+    """Return a host that was there from the start."""
+    return {
+        'name': name,
+        'zone': '',
+        'machine_class': 'standard',
+        'reclaimable': True,
+        'leaving': False,
+    }
+
+
+class Cloud:
+    """Hold the hosts, the notices and what the tests switched on."""
+
+    def __init__(self):
+        self.control = {}
+        self.hosts = {}
+        self.notices = []
+        self.announced = asyncio.Event()
+        self.listed = (0, [])
+        self.weights_free_at = 0
+
+    def reclaim(self, names, seconds):
+        """Announce that hosts go."""
+        deadline = time.time() + seconds
+        for name in names:
+            number = len(self.notices) + 1
+            self.notices.append(
+                {'number': number, 'server': name, 'deadline_wall': deadline}
+            )
+            host = self.hosts.setdefault(name, make_host(name))
+            host['leaving'] = True
+        self.announced.set()
+        self.announced = asyncio.Event()
+
+    def list_hosts(self):
+        """Return the hosts as they were a while ago."""
+        taken, _ = self.listed
+        if time.time() - taken >= self.control.get('list_lag_seconds', 0):
+            hosts = [dict(host) for host in self.hosts.values()]
+            self.listed = (time.time(), hosts)
+        return self.listed[1]
+
+
+class _Handler(RequestHandler):
+    def initialize(self, cloud):
+        self.cloud = cloud
+
+    def prepare(self):
+        if self.cloud.control.get('outage'):
+            self.send_error(503)
+
+    def read_json(self):
+        return json.decode(self.request.body)
+
+    def give(self, content):
+        self.finish(json.encode(content))
+
+
+class NoticesHandler(_Handler):
+    """Wait for notices."""
+
+    async def get(self):
+        after = int(self.get_argument('after'))
+        wait = float(self.get_argument('wait_seconds', '0'))
+        if len(self.cloud.notices) <= after:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.cloud.announced.wait(), wait)
+        self.give(self.cloud.notices[after:])
+
+
+class ReclaimsHandler(_Handler):
+    """Take hosts away on the test's order."""
+
+    def post(self):
+        order = self.read_json()
+        self.cloud.reclaim(order['servers'], order['seconds'])
+        self.give({})
+
+
+class HostsHandler(_Handler):
+    """List, start and stop hosts."""
+
+    def get(self):
+        self.give(self.cloud.list_hosts())
+
+    def post(self):
+        order = self.read_json()
+        if order['zone'] in self.cloud.control.get('refuse_zones', ()):
+            self.send_error(409)
+            return
+        host = {**order, 'leaving': False}
+        self.cloud.hosts[order['name']] = host
+        self.give(host)
+
+    def delete(self, name):
+        self.cloud.hosts.pop(name, None)
+        self.give({})
+
+
+class WeightsHandler(_Handler):
+    """Serve weights; loads queue for the store's rate."""
+
+    async def get(self, size):
+        rate = self.cloud.control.get('weights_per_second', 1_000_000)
+        begin = max(time.monotonic(), self.cloud.weights_free_at)
+        self.cloud.weights_free_at = begin + int(size) / rate
+        await asyncio.sleep(self.cloud.weights_free_at - time.monotonic())
+        self.give({})
+
+
+class ControlHandler(RequestHandler):
+    """Switch faults on."""
+
+    def initialize(self, cloud):
+        self.cloud = cloud
+
+    def post(self):
+        self.cloud.control = json.decode(self.request.body)
+
+    def get(self):
+        self.finish(json.encode({'notices': len(self.cloud.notices)}))
+
+
+async def serve(port):
+    """Serve until killed."""
+    bound = {'cloud': Cloud()}
+    Application(
+        [
+            ('/notices', NoticesHandler, bound),
+            ('/reclaims', ReclaimsHandler, bound),
+            ('/hosts', HostsHandler, bound),
+            ('/hosts/(.+)', HostsHandler, bound),
+            ('/weights/(.+)', WeightsHandler, bound),
+            ('/control', ControlHandler, bound),
+        ]
+    ).listen(port, '127.0.0.1')
+    await asyncio.Event().wait()
+
+
+if __name__ == '__main__':
+    IOLoop.current().run_sync(lambda: serve(int(sys.argv[1])))
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -88,6 +88,10 @@
         self._start('platform', 'tests.standins.platform')
         return self.ports['platform']
 
+    def start_cloud(self):
+        self._start('cloud', 'tests.standins.cloud')
+        return f'--cloud_address=127.0.0.1:{self.ports["cloud"]}'
+
     def start_engine(self, name, version='v1'):
         self._start(name, 'tests.standins.engine', version)
 
@@ -227,7 +231,7 @@
     }
 
 
-def start_small(deployment, engines=3, ledgers=2, entries=3):
+def start_small(deployment, engines=3, ledgers=2, entries=3, flags=()):
     """Start a whole small deployment and return its configuration."""
     deployment.start_platform()
     engine_names = [f'engine-{index}' for index in range(engines)]
@@ -241,7 +245,7 @@
     names = [f'entry-{index}' for index in range(entries)]
     for index, name in enumerate(names):
         deployment.start_entry(
-            name, deployment.zones[index % len(deployment.zones)]
+            name, deployment.zones[index % len(deployment.zones)], *flags
         )
     deployment.wait_ready(*names)
     return document
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -3,7 +3,10 @@
 Tokens depend on the seed, the prompt and the position alone, so a test can
 tell a whole answer from a damaged one. POST /control sets ``fail`` (status of
 every completion), ``token_seconds``, ``crash_on`` (a prompt holding this text
-ends the process), ``leaving`` and ``foreign`` (answer with another id).
+ends the process), ``leaving``, ``foreign`` (answer with another id),
+``disturb`` (send each chunk twice, or leave out every fifth) and
+``kv_token_seconds`` (time of a KV export). GET tells what ran and how many
+tokens were computed again.
 """
 
 import asyncio
@@ -51,6 +54,7 @@
         self.kv = {}
         self.fencing = 0
         self.executed = []
+        self.recomputed = 0
         self.load = None
 
     def look_up(self, prompt):
@@ -128,9 +132,10 @@
         prompt = order['prompt']
         cached = engine.look_up(prompt)
         words = len(prompt.split())
-        recomputed = words - cached + len(order['resume_tokens'])
-        if order.get('kv_handle') in engine.kv:
-            recomputed = 0
+        known = engine.kv.pop(order.get('kv_handle'), cached)
+        recomputed = max(0, words + len(order['resume_tokens']) - known)
+        if order['resume_tokens']:
+            engine.recomputed += recomputed
         per_prompt = engine.control.get('prompt_token_seconds', 0)
         await asyncio.sleep(recomputed * per_prompt)
         start = len(order['resume_tokens'])
@@ -149,11 +154,20 @@
                 'prompt_tokens': words,
                 'cached_tokens': cached,
             }
-            self.write(b'data: ' + json.encode(event) + b'\n\n')
+            order['position'] = position + 1
+            copies = count_copies(engine.control.get('disturb'), position)
+            self.write((b'data: ' + json.encode(event) + b'\n\n') * copies)
             await self.flush()
         self.finish(b'data: [DONE]\n\n')
 
 
+def count_copies(disturbance, position):
+    """Return how often a disturbed engine sends a chunk."""
+    if disturbance == 'twice':
+        return 2
+    return 0 if disturbance == 'gaps' and position % 5 == 4 else 1
+
+
 class LoadHandler(_Handler):
     """Report load as it was a while ago."""
 
@@ -193,7 +207,7 @@
 class KvHandler(_Handler):
     """Export and import KV caches."""
 
-    def post(self, action):
+    async def post(self, action):
         order = self.read_json()
         request_id = order['request_id']
         if action == 'import':
@@ -208,13 +222,14 @@
         if not held:
             self.send_error(404)
             return
+        words = len(held[0]['prompt'].split())
+        tokens = words + held[0].get('position', 0)
+        per_token = self.engine.control.get('kv_token_seconds', 0)
+        await asyncio.sleep(tokens * per_token)
+        handle = f'kv-{request_id}-{tokens}'
         self.finish(
             json.encode(
-                {
-                    'request_id': request_id,
-                    'tokens': len(held[0]['prompt'].split()),
-                    'handle': f'kv-{request_id}',
-                }
+                {'request_id': request_id, 'tokens': tokens, 'handle': handle}
             )
         )
 
@@ -246,7 +261,16 @@
         self.finish(b'{}')
 
     def get(self):
-        self.finish(json.encode({'executed': self.engine.executed}))
+        engine = self.engine
+        self.finish(
+            json.encode(
+                {
+                    'executed': engine.executed,
+                    'recomputed': engine.recomputed,
+                    'running': len(engine.running),
+                }
+            )
+        )
 
 
 async def serve(port, version):
--- /dev/null
+++ b/tests/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Test the streams package."""
