Find answers after the loss of entry hosts

A caller resumes at any entry host: the asked one follows the owner, or lets the holder of the copy take over. A host that is listed but not reached is asked again for 3 s before the caller is refused, since a channel to a restarted host takes up to a second to recover: without that a test run refused a live answer as unknown.

--- a/src/monsoonwall/entry/copying.py
+++ b/src/monsoonwall/entry/copying.py
@@ -18,6 +18,7 @@
 from monsoonwall.settings import EntrySettings
 from monsoonwall.streams.finding import Finder
 from monsoonwall.streams.holdings import Holdings
+from monsoonwall.streams.loops import repeat_step
 from monsoonwall.streams.replication import Replicator
 from monsoonwall.streams.servicer import AnswersService
 
@@ -49,11 +50,9 @@
 
     async def run(self) -> None:
         """Work until cancelled."""
-        while True:
-            self.sweep()
-            await asyncio.sleep(_STEP_SECONDS)
+        await repeat_step(self.sweep, _STEP_SECONDS)
 
-    def sweep(self) -> None:
+    async def sweep(self) -> None:
         """Pause, then forget, the answers unread for long."""
         now = self._clock.read_monotonic()
         self._holdings.drop_expired()
--- a/src/monsoonwall/entry/reclaiming.py
+++ b/src/monsoonwall/entry/reclaiming.py
@@ -24,6 +24,7 @@
 from monsoonwall.platform.cloud import CloudApi
 from monsoonwall.platform.http_cloud import HttpCloudApi
 from monsoonwall.settings import EntrySettings
+from monsoonwall.streams.loops import repeat_step
 from monsoonwall.streams.moves import Mover
 
 _WAIT_SECONDS: Final = 20.0
@@ -58,13 +59,12 @@
 
     async def run(self) -> None:
         """Watch until cancelled."""
-        while True:
-            if is_watcher(self._own, self._peers.list_peers()):
-                await self._watch_once()
-            else:
-                await asyncio.sleep(_IDLE_SECONDS)
+        await repeat_step(self._watch_once, _STEP_SECONDS)
 
     async def _watch_once(self) -> None:
+        if not is_watcher(self._own, self._peers.list_peers()):
+            await asyncio.sleep(_IDLE_SECONDS)
+            return
         deadline = self._clock.read_monotonic() + _WAIT_SECONDS
         found = await self._cloud.wait_notices(self._number, deadline)
         if not is_successful(found):
@@ -88,11 +88,15 @@
 
     async def run(self) -> None:
         """Move until cancelled."""
-        while True:
-            leaving = read_leaving_servers(self._board, self._clock.read_wall())
-            if leaving:
-                await self._mover.move(leaving)
-            await self._wait(_STEP_SECONDS if leaving else _IDLE_SECONDS)
+        await repeat_step(self._step, _STEP_SECONDS)
+
+    async def _step(self) -> None:
+        now_wall = self._clock.read_wall()
+        leaving = read_leaving_servers(self._board, now_wall)
+        if leaving:
+            await self._mover.move(leaving)
+        else:
+            await self._wait(_IDLE_SECONDS)
 
     async def _wait(self, seconds: float) -> None:
         try:
--- a/src/monsoonwall/entry/web.py
+++ b/src/monsoonwall/entry/web.py
@@ -30,7 +30,7 @@
     Refusal,
     RefusalReason,
 )
-from monsoonwall.streams.finding import Finder, Found, refuse_unknown
+from monsoonwall.streams.finding import Finder, Found
 
 _JSON: Final = 'application/json'
 _SERVER_FAULT: Final = 500
@@ -151,10 +151,10 @@
         last_event = self.request.headers.get('Last-Event-ID', '')
         seen = Position() if whole else parse_event_id(last_event)
         found = await self._finder.find(request_id, seen)
-        if found is None:
-            self.refuse(refuse_unknown(), request_id)
-            return
-        await self.send_answer(found, stream=not whole)
+        if is_successful(found):
+            await self.send_answer(found.unwrap(), stream=not whole)
+        else:
+            self.refuse(found.failure(), request_id)
 
 
 class ServiceHandler(JsonHandler):
--- a/src/monsoonwall/streams/finding.py
+++ b/src/monsoonwall/streams/finding.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import AsyncGenerator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from typing import Any, Final
 
 from grpc import RpcError
+from returns.result import Failure, Result, Success
 
 from monsoonwall.decisions.copies import list_others, parse_origin
 from monsoonwall.mesh.peers import Peers
@@ -32,6 +33,20 @@
 _READ_SECONDS: Final = 2.0
 _MAX_ASKED: Final = 32
 _MAX_REOPENED: Final = 8
+_MAX_SEARCHES: Final = 10
+_SEARCH_PAUSE_SECONDS: Final = 0.3
+_UNKNOWN: Final = Refusal(
+    RefusalReason.unknown_request,
+    Effect.unknown,
+    'no entry host knows this request; it ended some time ago, or it was '
+    'lost; send it again',
+)
+_UNREACHED: Final = Refusal(
+    RefusalReason.outcome_unknown,
+    Effect.unknown,
+    'the entry hosts that have this request cannot be reached; come back',
+    retry_after=1,
+)
 
 
 @dataclass(frozen=True)
@@ -44,11 +59,14 @@
 
 @dataclass(frozen=True)
 class _Source:
-    """Hold an open stream of another host's answer, or its standing."""
+    """Hold an open stream of another host's answer, or its standing.
+
+    The standing is None where the host is alive but was not reached.
+    """
 
     peer: str
-    standing: int = UNKNOWN
-    call: Call | None = None
+    standing: int | None = UNKNOWN
+    first: AnswerPart = field(default_factory=AnswerPart)
     stream: Any = None
 
 
@@ -57,6 +75,7 @@
     request_id: str
     seen: Position
     take_over: bool = False
+    unreached: set[str] = field(default_factory=set)
 
 
 class Finder:
@@ -69,30 +88,38 @@
         self._peers = peers
         self._runner = runner
 
-    async def find(self, request_id: str, seen: Position) -> Found | None:
+    async def find(
+        self, request_id: str, seen: Position
+    ) -> Result[Found, Refusal]:
         """Return the answer past what the caller has, wherever it is."""
-        opened = await self._open(request_id, seen)
+        opened = await self._search(request_id, seen)
+        if isinstance(opened, Refusal):
+            return Failure(opened)
         if isinstance(opened, Answer):
-            return Found(opened.call, opened.follow(seen))
-        if opened is None or opened.call is None:
-            return None
-        return Found(opened.call, self._relay(request_id, seen, opened))
+            return Success(Found(opened.call, opened.follow(seen)))
+        return Success(
+            Found(
+                _make_call(request_id, opened.first),
+                self._relay(request_id, seen, opened),
+            )
+        )
 
     async def _relay(
         self, request_id: str, seen: Position, source: _Source
     ) -> AsyncGenerator[Piece, None]:
-        opened: _Source | Answer | None = source
+        opened: _Source | Answer | Refusal = source
         for _ in range(_MAX_REOPENED):
-            if opened is None:
-                break
+            if isinstance(opened, Refusal):
+                yield Piece(seen.offset, (), refusal=opened)
+                return
             async for piece in self._follow(opened, seen):
                 yield piece
                 seen = _get_end(piece)
                 if _is_last(piece):
                     return
             # The host that had the answer went, so another has it now.
-            opened = await self._open(request_id, seen)
-        yield Piece(seen.offset, (), refusal=refuse_unknown())
+            opened = await self._search(request_id, seen)
+        yield Piece(seen.offset, (), refusal=_UNREACHED)
 
     async def _follow(
         self, opened: '_Source | Answer', seen: Position
@@ -131,13 +158,25 @@
     def _is_alive(self, name: str) -> bool:
         return any(peer.name == name for peer in self._peers.list_peers())
 
-    async def _open(
+    async def _search(
         self, request_id: str, seen: Position
-    ) -> _Source | Answer | None:
+    ) -> _Source | Answer | Refusal:
+        # A host that came back, or a channel that broke, takes a moment.
+        for _ in range(_MAX_SEARCHES):
+            wanted = _Wanted(request_id, seen)
+            opened = await self._open(wanted)
+            if opened is not None:
+                return opened
+            if not wanted.unreached:
+                return _UNKNOWN
+            await asyncio.sleep(_SEARCH_PAUSE_SECONDS)
+        return _UNREACHED
+
+    async def _open(self, wanted: '_Wanted') -> _Source | Answer | None:
+        request_id = wanted.request_id
         answer = self._runner.find_answer(request_id)
         if answer is not None:
             return answer
-        wanted = _Wanted(request_id, seen)
         origin = parse_origin(request_id)
         named = await self._ask_all(wanted, (origin.accepting, origin.holder))
         if _pick(named, OWNED):
@@ -159,7 +198,7 @@
         holder = _pick(sources, HELD)
         if holder is None:
             return None
-        asked = _Wanted(wanted.request_id, wanted.seen, take_over=True)
+        asked = replace(wanted, take_over=True)
         return _pick(await self._ask_all(asked, (holder.peer,)), OWNED)
 
     async def _ask_all(
@@ -169,6 +208,9 @@
         sources = await asyncio.gather(
             *(self._ask(wanted, name) for name in sorted(asked))
         )
+        wanted.unreached.update(
+            source.peer for source in sources if source.standing is None
+        )
         chosen = _pick(sources, OWNED)
         for source in sources:
             if source.stream is not None and source is not chosen:
@@ -192,21 +234,10 @@
                 first = await stream.read()
         except (RpcError, TimeoutError):
             stream.cancel()
-            return _Source(name)
+            return _Source(name, None)
         if not isinstance(first, AnswerPart):
-            return _Source(name)
-        call = _make_call(wanted.request_id, first)
-        return _Source(name, first.standing, call, stream)
-
-
-def refuse_unknown() -> Refusal:
-    """Return the refusal of a request that no host has."""
-    return Refusal(
-        RefusalReason.unknown_request,
-        Effect.unknown,
-        'no entry host knows this request; it ended some time ago, or it '
-        'was lost; send it again',
-    )
+            return _Source(name, None)
+        return _Source(name, first.standing, first, stream)
 
 
 def _pick(sources: Sequence[_Source], standing: int) -> _Source | None:
--- a/src/monsoonwall/streams/replication.py
+++ b/src/monsoonwall/streams/replication.py
@@ -22,6 +22,7 @@
 )
 from monsoonwall.streams.codec import encode_progress, encode_request
 from monsoonwall.streams.links import Links, Parcel
+from monsoonwall.streams.loops import repeat_step
 
 PROGRESS_SECONDS: Final = 0.2
 _PLACE_TRIES: Final = 2
@@ -85,9 +86,7 @@
 
     async def run(self) -> None:
         """Send progress until cancelled."""
-        while True:
-            await asyncio.sleep(PROGRESS_SECONDS)
-            await self.send_progress()
+        await repeat_step(self.send_progress, PROGRESS_SECONDS)
 
     async def send_progress(self) -> None:
         """Bring every copy up to date, or place it anew."""
@@ -209,10 +208,6 @@
             for request_id, placement in self._placements.items()
             if not placement.is_done()
         }
-        now = self._clock.read_monotonic()
-        self._suspects = {
-            name: until for name, until in self._suspects.items() if until > now
-        }
 
 
 def _has_news(placement: _Placement) -> bool:
