--- a/src/monsoonwall/pipeline/dispatch.py
+++ b/src/monsoonwall/pipeline/dispatch.py
@@ -106,12 +106,14 @@
             if ending is None or ending.kind is InterruptionKind.abandoned:
                 return
             following = await self._follow_interruption(
-                progress, choice.unwrap(), ending
+                progress, choice.unwrap(), ending, len(answer.tokens)
             )
             if not is_successful(following):
                 answer.refuse(following.failure())
                 return
             progress = following.unwrap()
+            # A version that was taken back gives up its answers too.
+            answer.version = progress.version
 
     async def run_plain_call(
         self, call: Call, isolated: bool
@@ -182,9 +184,12 @@
         progress: _Progress,
         choice: ServerChoice,
         ending: Interruption,
+        emitted: int,
     ) -> Result[_Progress, Refusal]:
         if ending.kind is InterruptionKind.failed:
-            return await self._follow_failure(progress, choice, ending.failure)
+            return await self._follow_failure(
+                progress, choice, ending.failure, emitted
+            )
         # A move is the system's own doing and uses up no retries.
         return Success(
             replace(
@@ -201,6 +206,7 @@
         progress: _Progress,
         choice: ServerChoice,
         failure: AttemptFailure,
+        emitted: int = 0,
     ) -> Result[_Progress, Refusal]:
         now = self._clock.read_monotonic()
         failures = progress.failures + 1
@@ -214,6 +220,9 @@
         return Success(
             replace(
                 progress,
+                version=self._stages.versions.choose_again(
+                    progress.call, progress.version, emitted, now
+                ),
                 attempt=progress.attempt + 1,
                 excluded=progress.excluded | {choice.server},
                 failures=failures,
