Prove configurations with processes: races, outages, cuts, freezes

A trial that froze a host to cut it off was wrong: the platform's answer to its waiting watch already lay in its socket, so it adopted the new number on waking. The test now freezes it during an outage, without a call in flight.

--- /dev/null
+++ b/tests/entry/test_configuration_processes.py
@@ -0,0 +1,213 @@
+"""Keep one configuration in force while hosts and the platform fail."""
+
+import signal
+import time
+import unittest
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+from tests.standins.deployment import Deployment, start_small, wait_until
+
+HOSTS = ('entry-0', 'entry-1', 'entry-2', 'entry-3')
+CALL = {'model': 'hotline', 'prompt': 'hi', 'max_tokens': 3}
+# Far above the seconds in which a change is to be in force everywhere.
+SPREAD_SECONDS = 15
+# After this no watch from before an outage is left waiting.
+WATCH_SECONDS = 3
+
+
+class ConfigurationProcessesTest(unittest.TestCase):
+    """Run three zones, one of them with two entry hosts."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.deployment = cls.enterClassContext(Deployment())
+        start_small(cls.deployment, engines=1, ledgers=1, entries=4)
+
+    def setUp(self):
+        self.base = self.read_number('entry-0')
+        self.wait_number(self.base, *HOSTS)
+
+    def tearDown(self):
+        self.deployment.control('platform')
+        number = max(map(self.read_number, HOSTS))
+        self.wait_number(number, *HOSTS)
+
+    def patch(self, host, base, weight, patch_id=None):
+        """Submit a patch; return how it ended."""
+        body = {
+            'base': base,
+            'patch_id': patch_id or f'{host}-{base}-{weight}',
+            'patch': {'workspaces': {'depot': {'weight': weight}}},
+        }
+        reply = self.deployment.send(host, 'POST', '/admin/patch', body)
+        return reply.read_json()
+
+    def patch_next(self, host='entry-0'):
+        """Submit a patch on the newest number; return how it ended."""
+        base = self.read_number(host)
+        return self.patch(host, base, base)
+
+    def read_number(self, host):
+        reply = self.deployment.send(host, 'GET', '/health')
+        return reply.read_json()['configuration']
+
+    def wait_number(self, number, *hosts):
+        for host in hosts:
+            reached = wait_until(
+                lambda one=host: self.read_number(one) == number,
+                SPREAD_SECONDS,
+            )
+            self.assertTrue(reached, f'{host} has not {number} in force')
+
+    def call(self, host):
+        reply = self.deployment.send(host, 'POST', '/v1/completions', CALL)
+        return reply.status
+
+    def reserve(self, host, key):
+        """Reserve stock; return the error code, or nothing."""
+        reply = self.deployment.send(
+            host,
+            'POST',
+            '/services/ledger/reservations',
+            {'packets': 1},
+            {'Idempotency-Key': key},
+        ).read_json()
+        return reply.get('error', {}).get('code')
+
+    def restart(self, host, *flags):
+        zone = self.deployment.zones[HOSTS.index(host) % 3]
+        self.deployment.kill(host)
+        self.deployment.start_entry(host, zone, *flags)
+
+    def test_racing_operators(self):
+        for base in range(self.base, self.base + 3):
+            with ThreadPoolExecutor(len(HOSTS)) as pool:
+                outcomes = list(
+                    pool.map(
+                        lambda host, at=base: self.patch(
+                            host, at, HOSTS.index(host) + 1
+                        ),
+                        HOSTS,
+                    )
+                )
+            endings = Counter(outcome['ending'] for outcome in outcomes)
+            self.assertEqual(endings, {'accepted': 1, 'refused': 3})
+            for outcome in outcomes:
+                self.assertEqual(outcome['number'], base + 1)
+            self.wait_number(base + 1, *HOSTS)
+        documents = {
+            self.deployment.send(host, 'GET', '/admin/configuration').body
+            for host in HOSTS
+        }
+        self.assertEqual(len(documents), 1)
+
+    def test_lost_answers(self):
+        expected = ('accepted', self.base + 1)
+        self.deployment.control('platform', lose_answers=True)
+        for host in ('entry-0', 'entry-1'):
+            outcome = self.patch(host, self.base, 5, 'sent-twice')
+            found = (outcome['ending'], outcome['number'])
+            self.assertEqual(found, expected)
+            self.wait_number(self.base + 1, *HOSTS)
+
+    def test_outage(self):
+        self.patch_next()
+        self.wait_number(self.base + 1, *HOSTS)
+        self.assertTrue(
+            wait_until(lambda: self.reserve('entry-1', 'before') is None)
+        )
+        self.deployment.control('platform', outage=True)
+        outcome = self.patch_next()
+        self.assertEqual(outcome['ending'], 'platform_unavailable')
+        self.restart('entry-3')
+        self.deployment.wait_ready('entry-3')
+        self.assertEqual(self.read_number('entry-3'), self.base + 1)
+        stopped = wait_until(
+            lambda: self.reserve('entry-3', 'out') == 'configuration_too_old'
+        )
+        self.assertTrue(stopped, 'a reservation under an unconfirmed number')
+        self.assertEqual(self.call('entry-3'), 200)
+        self.deployment.control('platform')
+        self.assertTrue(
+            wait_until(lambda: self.reserve('entry-3', 'after') is None)
+        )
+
+    def test_restart_behind_a_stale_read(self):
+        for _ in range(2):
+            self.patch_next()
+        self.wait_number(self.base + 2, *HOSTS)
+        self.deployment.control('platform', stale_reads=2)
+        self.restart('entry-3')
+        self.deployment.wait_ready('entry-3')
+        self.assertEqual(self.read_number('entry-3'), self.base + 2)
+
+    def test_cut_host_and_frozen_host(self):
+        lone = self.start_lone('entry-3')
+        self.assertIsNone(self.reserve('entry-3', 'before'))
+        # Cut: frozen without a call in flight, it wakes into an outage.
+        self.deployment.control('platform', outage=True)
+        time.sleep(WATCH_SECONDS)
+        lone.signal('entry-3', signal.SIGSTOP)
+        self.deployment.control('platform')
+        self.deployment.signal('entry-2', signal.SIGSTOP)
+        outcome = self.patch_next()
+        self.assertEqual(outcome['ending'], 'accepted')
+        self.deployment.control('platform', outage=True)
+        lone.signal('entry-3', signal.SIGCONT)
+        self.assertEqual(self.call('entry-3'), 200)
+        # The settling is stated as a time, so it is waited for.
+        time.sleep(max(0, outcome['settled_wall'] - time.time()))
+        self.assertEqual(self.read_number('entry-3'), self.base)
+        self.assertEqual(self.call('entry-3'), 200)
+        self.assertEqual(
+            self.reserve('entry-3', 'cut'), 'configuration_too_old'
+        )
+        self.deployment.signal('entry-2', signal.SIGCONT)
+        if self.reserve('entry-2', 'thawed') is None:
+            self.assertEqual(self.read_number('entry-2'), self.base + 1)
+        self.deployment.control('platform')
+        self.wait_number(self.base + 1, *HOSTS)
+
+    def start_lone(self, host):
+        """Start a host anew that knows no peer and is known to none."""
+        self.deployment.kill(host)
+        lone = self.enterContext(
+            Deployment(ports={'platform': self.deployment.ports['platform']})
+        )
+        lone.start_entry(host, 'zone-a')
+        lone.wait_ready(host)
+        self.addCleanup(self.restart_known, host, self.deployment.ports[host])
+        self.deployment.ports[host] = lone.ports[host]
+        return lone
+
+    def restart_known(self, host, port):
+        self.deployment.ports[host] = port
+        self.deployment.start_entry(host, 'zone-a')
+        self.deployment.wait_ready(host)
+
+    def test_unreadable_object(self):
+        self.deployment.send(
+            'platform',
+            'PUT',
+            '/objects/configuration/current',
+            'no configuration',
+            {'If-Match': self.read_version()},
+        )
+        told = wait_until(lambda: self.read_problems('entry-0'))
+        self.assertTrue(told, 'the unreadable object was not reported')
+        numbers = {self.read_number(host) for host in HOSTS}
+        self.assertEqual(numbers, {self.base})
+        repaired = self.patch('entry-1', self.base, 5)
+        self.assertEqual(repaired['ending'], 'accepted', repaired)
+        self.wait_number(self.base + 1, *HOSTS)
+
+    def read_version(self):
+        reply = self.deployment.send(
+            'platform', 'GET', '/objects/configuration/current'
+        )
+        return reply.headers['X-Object-Version']
+
+    def read_problems(self, host):
+        reply = self.deployment.send(host, 'GET', '/admin/status')
+        return reply.read_json()['configuration']['problems']
--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,121 @@
+"""Call the platform within a budget, and read its failures rightly."""
+
+import asyncio
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
+from tornado.httpclient import AsyncHTTPClient
+
+from monsoonwall.clocks import ManualClock, SystemClock
+from monsoonwall.decisions.budget import RESERVES, Backoff, CallBudget
+from monsoonwall.platform.budgeted import BudgetedObjectStore, CallRates
+from monsoonwall.platform.http_objects import HttpObjectStore
+from monsoonwall.platform.objects import CallReason, StoreFailure
+from tests.configuration.test_submission import FaultyStore
+from tests.standins.deployment import Deployment, find_free_port
+
+KEY = 'claims/one'
+reasons = st.sampled_from(CallReason)
+calls = st.lists(st.tuples(reasons, st.sampled_from((0, 0.01, 0.4, 3))))
+
+
+class BudgetTest(unittest.TestCase):
+    """Bound the calls, and keep room for what matters most."""
+
+    @given(calls=calls, rate=st.sampled_from((1, 10, 50)))
+    def test_never_above_burst_and_rate(self, calls, rate):
+        budget = CallBudget(rate, burst=10, now=0)
+        now, taken = 0, 0
+        for reason, pause in calls:
+            now += pause
+            taken += budget.take(reason, now)
+            self.assertLessEqual(taken, 10 + rate * now)
+
+    @given(greedy=reasons)
+    def test_claims_find_room(self, greedy):
+        budget = CallBudget(1, burst=10, now=0)
+        taken = [budget.take(greedy, 0) for _ in range(20)]
+        self.assertIn(True, taken)
+        has_room = budget.take(CallReason.claim, 0)
+        self.assertEqual(has_room, RESERVES[greedy] > 0)
+
+    def test_over_budget_is_told_at_once(self):
+        store = BudgetedObjectStore(
+            FaultyStore(), CallRates(reads=1, writes=1), ManualClock()
+        )
+
+        async def call():
+            return [await store.read(KEY, CallReason.claim) for _ in range(11)]
+
+        answers = [answer.failure() for answer in asyncio.run(call())]
+        self.assertEqual(answers[-1], StoreFailure.over_budget)
+        self.assertNotIn(StoreFailure.over_budget, answers[:-1])
+
+    @given(st.lists(st.floats(0, 1), min_size=1, max_size=50))
+    def test_backoff_grows_to_its_bound(self, chances):
+        backoff = Backoff(first_seconds=0.2, most_seconds=3)
+        pauses = [backoff.fail(0, chance) for chance in chances]
+        for index, pause in enumerate(pauses):
+            bound = min(3, 0.2 * 2**index)
+            self.assertTrue(bound / 2 <= pause <= bound)
+        backoff.succeed()
+        self.assertLessEqual(backoff.fail(0, 1), 0.2)
+
+
+class FailureTest(unittest.TestCase):
+    """Tell what certainly had no effect from what may have had one."""
+
+    def run_calls(self, address, calls):
+        async def run():
+            client = AsyncHTTPClient(force_instance=True)
+            store = HttpObjectStore(address, client, SystemClock())
+            try:
+                return await calls(store)
+            finally:
+                client.close()
+
+        return asyncio.run(run())
+
+    def test_failures_of_a_running_platform(self):
+        with Deployment() as deployment:
+            port = deployment.start_platform()
+
+            async def call(store):
+                made = await store.create(KEY, b'1', CallReason.claim)
+                again = await store.create(KEY, b'2', CallReason.claim)
+                deployment.control('platform', lose_answers=True)
+                lost = await store.update(KEY, b'3', 1, CallReason.claim)
+                deployment.control('platform', outage=True)
+                out = await store.read(KEY, CallReason.claim)
+                deployment.control('platform')
+                large = b' ' * 1_000_001
+                too_large = await store.create('a', large, CallReason.claim)
+                missing = await store.read('b', CallReason.claim)
+                now = await store.read(KEY, CallReason.claim)
+                self.assertTrue(is_successful(made))
+                self.assertEqual(now.unwrap().content, b'3')
+                return [
+                    one.failure()
+                    for one in (again, lost, out, too_large, missing)
+                ]
+
+            failures = self.run_calls(f'127.0.0.1:{port}', call)
+        self.assertEqual(
+            failures,
+            [
+                StoreFailure.conflict,
+                StoreFailure.lost,
+                StoreFailure.unavailable,
+                StoreFailure.too_large,
+                StoreFailure.missing,
+            ],
+        )
+
+    def test_no_platform_at_all(self):
+        async def call(store):
+            return await store.read(KEY, CallReason.claim)
+
+        answer = self.run_calls(f'127.0.0.1:{find_free_port()}', call)
+        self.assertEqual(answer.failure(), StoreFailure.unavailable)
