--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -9,6 +9,8 @@
 from monsoonwall.backends.pool import BackendPool
 from monsoonwall.clocks import Clock
 from monsoonwall.configuration.model import Configuration
+from monsoonwall.entry.claiming import Claims
+from monsoonwall.entry.controls import RequestControls
 from monsoonwall.entry.meshing import Mesh
 from monsoonwall.entry.operating import Operating
 from monsoonwall.entry.requests import RequestTasks
@@ -19,11 +21,6 @@
 from monsoonwall.pipeline.acceptance import Acceptance
 from monsoonwall.pipeline.baseline import (
     ActiveVersionChoice,
-    FixedRetryRule,
-    OpenAdmission,
-    OpenClaiming,
-    OpenScreening,
-    RoundRobinRouting,
 )
 from monsoonwall.pipeline.dispatch import Dispatcher, Stages
 from monsoonwall.settings import EntrySettings, split_address
@@ -49,35 +46,47 @@
         self._operating = Operating(
             settings, self._state, self._mesh.board, clock, self.adopt
         )
+        self._claims = Claims(
+            settings.host_name,
+            self._operating.store,
+            self._mesh.peers,
+            clock,
+        )
+        self._controls = RequestControls(
+            settings, self._mesh, self._pool, clock
+        )
 
     async def run(self) -> None:
         """Serve until a signal asks for the shutdown."""
         loop = asyncio.get_running_loop()
         for asked in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(asked, self._stopping.set)
-        await self._mesh.start()
+        await self._mesh.start((self._claims.registrar,))
         server = self._listen()
         configuring = asyncio.create_task(self._operating.configuring.run())
+        controlling = asyncio.create_task(self._controls.run())
         _log.info('Entry host started.', address=self._settings.listen_address)
         await self._stopping.wait()
         await self._shut_down(server)
+        controlling.cancel()
         configuring.cancel()
 
     def adopt(self, configuration: Configuration) -> None:
         """Put a configuration in force for requests accepted from now on."""
         self._pool.adopt(configuration)
+        self._controls.adopt(configuration)
         stages = Stages(
             ActiveVersionChoice(configuration),
-            RoundRobinRouting(configuration),
-            FixedRetryRule(),
-            OpenClaiming(),
-            (),
+            self._controls.routing,
+            self._controls.retries,
+            self._claims.claiming,
+            self._controls.observers,
         )
         self._state.serving = Serving(
             configuration,
             Acceptance(configuration, self._settings.host_name),
-            self._operating.guard(OpenAdmission()),
-            OpenScreening(),
+            self._operating.guard(self._controls.admission),
+            self._controls.screening,
             Dispatcher(stages, self._pool, self._clock),
         )
         CONFIGURATION_NUMBER.set(configuration.number)
@@ -107,6 +116,7 @@
             self._clock.read_monotonic() + self._settings.drain_seconds
         )
         left = await self._tasks.drain(drain_deadline)
+        await self._claims.stop(drain_deadline)
         await self._mesh.stop()
         server.stop()
         await server.close_all_connections()
