Give each test's reservations keys of their own

Cause: with claims in force, a key that a killed host had claimed in another test is rightly refused; test_outage met one in the whole run.

For the record: with a start that waits for no peer, tests.configuration.test_adoption.StartTest fails; the process test test_restart_behind_a_stale_read does not, since the announcement on the mesh corrects the number before the test reads it.

--- a/tests/entry/test_configuration_processes.py
+++ b/tests/entry/test_configuration_processes.py
@@ -71,7 +71,7 @@
             'POST',
             '/services/ledger/reservations',
             {'packets': 1},
-            {'Idempotency-Key': key},
+            {'Idempotency-Key': f'{self.id()} {key}'},
         ).read_json()
         return reply.get('error', {}).get('code')
 
