--- a/src/monsoonwall/entry/meshing.py
+++ b/src/monsoonwall/entry/meshing.py
@@ -106,10 +106,18 @@
     the mesh has started.
     """
 
-    def __init__(self, settings: EntrySettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        advertised_address: str = '',
+    ) -> None:
         own = Identity(settings.host_name, settings.zone, settings.region)
         record = HostRecord(
-            own.name, own.zone, own.region, settings.mesh_address
+            own.name,
+            own.zone,
+            own.region,
+            advertised_address or settings.mesh_address,
         )
         board = MeshBoard(clock)
         store = RecordStore(
--- a/src/monsoonwall/mesh/exchange.py
+++ b/src/monsoonwall/mesh/exchange.py
@@ -25,8 +25,11 @@
 class Exchanger:
     """Make and answer the messages of gossip for one host."""
 
-    def __init__(self, store: RecordStore) -> None:
+    def __init__(
+        self, store: RecordStore, max_news_bytes: int = MAX_NEWS_BYTES
+    ) -> None:
         self.store = store
+        self._max_news_bytes = max_news_bytes
 
     def make_request(self, zones: Sequence[str]) -> ExchangeRequest:
         """Return the digest of what this host knows of some zones, or all."""
@@ -57,7 +60,7 @@
         none means all of them.
         """
         reply = ExchangeReply(sender=self.store.own.name)
-        budget = _Budget()
+        budget = _Budget(self._max_news_bytes)
         seen: set[int] = set()
         for digest in _read_digests(request.digests, zones):
             seen.add(digest.origin)
@@ -132,7 +135,7 @@
     def _make_wanted(self, reply: ExchangeReply) -> PushRequest:
         push = PushRequest(sender=self.store.own.name)
         self._add_facts(push.facts, reply.wanted_buckets)
-        budget = _Budget()
+        budget = _Budget(self._max_news_bytes)
         wanted = zip(reply.wanted_origins, reply.wanted_after, strict=True)
         for origin, sequence in wanted:
             log = self.store.logs.find_id(origin)
@@ -143,7 +146,7 @@
     def _add_facts(
         self, records: 'list[FactRecord]', buckets: Iterable[int]
     ) -> None:
-        left = MAX_NEWS_BYTES
+        left = self._max_news_bytes
         for fact in self.store.facts.list_facts(buckets):
             record = _write_fact(fact)
             left -= record.ByteSize()
@@ -161,7 +164,7 @@
 
 @dataclass
 class _Budget:
-    left: int = MAX_NEWS_BYTES
+    left: int
 
     def add_delta(
         self, deltas: 'list[LogDelta]', log: OriginLog, base: int
--- /dev/null
+++ b/tests/mesh/test_merge.py
@@ -0,0 +1,210 @@
+"""Fuzz what hosts keep of each other's news against what was published.
+
+Messages are delayed, doubled, reordered and lost; hosts are paused and
+restarted. The oracle holds every value that was ever published.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from benchmarks.fleet import FleetHost
+from monsoonwall.mesh.board import Entry, Fact
+from monsoonwall.mesh.exchange import Exchanger
+from monsoonwall.mesh.store import HOST_KIND
+
+NAMES = ('north', 'south', 'east')
+KEYS = ('load', 'evidence', 'cache')
+# So small that most deltas are cut short.
+MAX_NEWS_BYTES = 60
+
+hosts = strategies.sampled_from(NAMES)
+keys = strategies.sampled_from(KEYS)
+payloads = strategies.binary(min_size=1, max_size=2)
+positions = strategies.integers(min_value=0, max_value=30)
+
+
+@dataclass(frozen=True)
+class Message:
+    """Hold one message under way."""
+
+    source: str
+    target: str
+    content: object
+
+
+class Oracle:
+    """Remember the states of each log by sequence, and all facts."""
+
+    def __init__(self):
+        self.states = defaultdict(lambda: {0: {}})
+        self.facts = set()
+
+    def note(self, log, record):
+        states = self.states[log.name, log.incarnation]
+        states[record.sequence] = {
+            **states[record.sequence - 1],
+            (record.kind, record.key): record.payload,
+        }
+
+
+class MergeMachine(RuleBasedStateMachine):
+    """Let three hosts gossip over a bad network."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1000.0
+        self.oracle = Oracle()
+        self.hosts = {}
+        self.under_way = []
+        self.incarnations = dict.fromkeys(NAMES, 0)
+        self.seen = {}
+        for name in NAMES:
+            self.restart(name)
+
+    @rule(name=hosts)
+    def restart(self, name):
+        self.incarnations[name] += 1
+        host = FleetHost(name, 'zone', self.incarnations[name], self.now, ())
+        host.exchanger = Exchanger(host.store, MAX_NEWS_BYTES)
+        log = host.store.own_log
+        self.oracle.note(log, log.records[HOST_KIND, ''])
+        self.hosts[name] = host
+        for known in tuple(self.seen):
+            if known[0] == name:
+                self.seen.pop(known)
+
+    @rule(name=hosts, key=keys, payload=payloads)
+    def publish(self, name, key, payload):
+        store = self.hosts[name].store
+        store.show(Entry(name, 'kind', key, payload))
+        record = store.write(store.own_log, 'kind', key, payload)
+        self.oracle.note(store.own_log, record)
+
+    @rule(name=hosts, key=keys, payload=payloads, life=strategies.floats(1, 20))
+    def publish_fact(self, name, key, payload, life):
+        fact = Fact('verdict', key, payload, self.now + life)
+        self.oracle.facts.add(fact)
+        self.hosts[name].merge_fact(fact, self.now)
+
+    @rule(source=hosts, asked=hosts)
+    def ask(self, source, asked):
+        request = self.hosts[source].exchanger.make_request(())
+        self.under_way.append(Message(source, asked, request))
+
+    @precondition(lambda machine: machine.under_way)
+    @rule(position=positions, again=strategies.booleans())
+    def deliver(self, position, again):
+        index = position % len(self.under_way)
+        message = self.under_way[index]
+        if not again:
+            self.under_way.pop(index)
+        answer = self.take(message)
+        if answer is not None:
+            self.under_way.append(
+                Message(message.target, message.source, answer)
+            )
+
+    @precondition(lambda machine: machine.under_way)
+    @rule(position=positions)
+    def lose(self, position):
+        self.under_way.pop(position % len(self.under_way))
+
+    @rule(seconds=strategies.floats(0.1, 3), paused=strategies.sets(hosts))
+    def wait(self, seconds, paused):
+        self.now += seconds
+        for name in NAMES:
+            if name not in paused:
+                self.hosts[name].store.begin_round(self.now, self.now)
+
+    def take(self, message):
+        exchanger = self.hosts[message.target].exchanger
+        content = message.content
+        match type(content).__name__:
+            case 'ExchangeRequest':
+                return exchanger.answer(content, (), self.now)
+            case 'ExchangeReply':
+                return exchanger.take_reply(content, self.now, self.now)
+            case _:
+                exchanger.store.take_deltas(content.deltas, self.now)
+                exchanger.merge_facts(content.facts, self.now)
+        return None
+
+    @invariant()
+    def check_logs(self):
+        """Each log is what its origin had published at one moment."""
+        for host in self.hosts.values():
+            for log in host.store.logs:
+                held = {
+                    place: record.payload
+                    for place, record in log.records.items()
+                }
+                states = self.oracle.states[log.name, log.incarnation]
+                assert held == states[log.sequence]
+                place = host.name, log.name
+                assert self.seen.get(place, 0) <= log.incarnation
+                self.seen[place] = log.incarnation
+
+    @invariant()
+    def check_facts(self):
+        for host in self.hosts.values():
+            assert self.oracle.facts.issuperset(
+                host.store.facts.read('verdict', self.now)
+            )
+
+    def teardown(self):
+        """Once all messages arrive, everybody knows all there is."""
+        standing = self.merge_naively()
+        for _ in range(60):
+            self.wait(0.25, set())
+            for source in NAMES:
+                for target in NAMES:
+                    self.under_way = []
+                    self.ask(source, target)
+                    while self.under_way:
+                        self.deliver(0, again=False)
+        for host in self.hosts.values():
+            latest = {
+                (name, key): payload
+                for name, other in self.hosts.items()
+                for (kind, key), payload in self.oracle.states[
+                    name, self.incarnations[name]
+                ][other.store.own_log.sequence].items()
+                if kind == 'kind'
+            }
+            assert latest == {
+                (entry.origin, entry.key): entry.payload
+                for entry in host.store.read_entries('kind')
+            }
+            assert set(host.store.facts.read('verdict', self.now)) == {
+                fact for fact in standing if fact.expires_wall > self.now
+            }
+
+    def merge_naively(self):
+        """Return the greatest live fact of each key that any host holds."""
+        found = {}
+        for host in self.hosts.values():
+            for fact in host.store.facts.read('verdict', self.now):
+                known = found.get(fact.key, fact)
+                found[fact.key] = max(
+                    known,
+                    fact,
+                    key=lambda one: (one.payload, one.expires_wall),
+                )
+        return set(found.values())
+
+
+MergeMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40
+)
+
+
+class MergeTest(MergeMachine.TestCase):
+    """Run the machine."""
--- /dev/null
+++ b/tests/mesh/test_processes.py
@@ -0,0 +1,120 @@
+"""Prove the mesh with processes that are killed, frozen and cut off."""
+
+import signal
+import time
+import unittest
+
+from tests.standins.deployment import Deployment, find_free_port, wait_until
+from tests.standins.relay import Relays
+
+NAMES = ('entry-0', 'entry-1', 'entry-2', 'entry-3')
+# The stated target for news is about a second; for a host that went without
+# a word, the time after which it counts as gone; both doubled and more.
+NEWS_SECONDS = 5
+GONE_SECONDS = 15
+
+
+class MeshProcessesTest(unittest.TestCase):
+    """Run four hosts in three zones, a relay before each."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.relays = cls.enterClassContext(Relays())
+        cls.deployment = cls.enterClassContext(Deployment())
+        cls.advertised = {name: find_free_port() for name in NAMES}
+        cls.mesh_ports = {name: find_free_port() for name in NAMES}
+        for name in NAMES:
+            cls.relays.add(name, cls.advertised[name], cls.mesh_ports[name])
+            cls.start(name)
+
+    def setUp(self):
+        for name in NAMES:
+            self.wait(name, lambda state: len(state['peers']) == 3)
+
+    @classmethod
+    def start(cls, name):
+        cls.deployment._start(
+            name,
+            'tests.standins.mesh_host',
+            name,
+            f'zone-{int(name[-1]) % 3}',
+            str(cls.mesh_ports[name]),
+            str(cls.advertised[name]),
+            *(str(cls.advertised[seed]) for seed in NAMES[:2]),
+        )
+        cls.relays.know(name, cls.deployment.processes[name].pid)
+
+    def read(self, name):
+        return self.deployment.send(name, 'GET', '/control').read_json()
+
+    def wait(self, name, condition, seconds=GONE_SECONDS):
+        came = wait_until(lambda: condition(self.read(name)), seconds)
+        self.assertTrue(came, f'{name}: {self.read(name)}')
+
+    def publish(self, name, text):
+        # Of two facts the greater payload stands, so later ones must be.
+        text = f'{time.time():.6f} {text}'
+        expires = time.time() + 600
+        self.deployment.control(
+            name, entry=['load', text], fact=['verdict', text, expires]
+        )
+        return text
+
+    def test_killed_host(self):
+        first = self.publish('entry-3', 'first')
+        self.wait_entry('entry-0', 'entry-3', first)
+        self.deployment.kill('entry-3')
+        self.wait('entry-0', lambda state: 'entry-3' not in state['peers'])
+        state = self.read('entry-0')
+        self.assertNotIn('entry-3/load', state['entries'])
+        self.assertEqual(state['facts'], {'verdict': first})
+        self.start('entry-3')
+        second = self.publish('entry-3', 'second')
+        for name in NAMES:
+            self.wait_entry(name, 'entry-3', second)
+            self.wait_fact(name, second)
+
+    def test_frozen_host(self):
+        first = self.publish('entry-3', 'first')
+        self.wait_entry('entry-0', 'entry-3', first)
+        self.deployment.signal('entry-3', signal.SIGSTOP)
+        self.wait('entry-0', lambda state: 'entry-3' not in state['peers'])
+        later = self.publish('entry-0', 'meanwhile')
+        self.deployment.signal('entry-3', signal.SIGCONT)
+        self.wait_fact('entry-3', later)
+        self.wait_entry('entry-0', 'entry-3', first)
+
+    def test_leaving_host(self):
+        self.deployment.signal('entry-3', signal.SIGTERM)
+        for name in NAMES[:3]:
+            self.wait(
+                name,
+                lambda state: 'entry-3' not in state['peers'],
+                NEWS_SECONDS,
+            )
+        self.deployment.kill('entry-3')
+        self.start('entry-3')
+
+    def test_cut_zone(self):
+        others = ('entry-0', 'entry-1', 'entry-3')
+        self.relays.cut(*(('entry-2', other) for other in others))
+        self.wait('entry-2', lambda state: not state['peers'])
+        self.wait('entry-0', lambda state: len(state['peers']) == 2)
+        outside = self.publish('entry-0', 'outside')
+        self.wait_fact('entry-3', outside, NEWS_SECONDS)
+        inside = self.publish('entry-2', 'inside')
+        self.assertEqual(self.read('entry-0')['facts'], {'verdict': outside})
+        self.relays.heal()
+        for name in NAMES:
+            self.wait_fact(name, inside)
+            self.wait_entry(name, 'entry-0', outside)
+            self.wait_entry(name, 'entry-2', inside)
+
+    def wait_fact(self, name, text, seconds=GONE_SECONDS):
+        self.wait(
+            name, lambda state: state['facts'] == {'verdict': text}, seconds
+        )
+
+    def wait_entry(self, name, origin, text):
+        place = f'{origin}/load'
+        self.wait(name, lambda state: (place, text) in state['entries'].items())
--- /dev/null
+++ b/tests/standins/mesh_host.py
@@ -0,0 +1,88 @@
+"""Run just the mesh of an entry host, told what to publish over HTTP.
+
+POST /control takes ``entry`` (a key and a text) and ``fact`` (a key, a text,
+and when it expires); GET /control tells what the host knows.
+"""
+
+import asyncio
+import signal
+import sys
+
+from msgspec import json
+from tornado.ioloop import IOLoop
+from tornado.web import Application, RequestHandler
+
+from monsoonwall.clocks import SystemClock
+from monsoonwall.entry.meshing import Mesh
+from monsoonwall.mesh.board import Fact
+from monsoonwall.settings import EntrySettings
+
+
+class ControlHandler(RequestHandler):
+    """Publish, and tell what is known."""
+
+    def initialize(self, mesh):
+        self.mesh = mesh
+
+    def post(self):
+        order = json.decode(self.request.body)
+        key, text = order['entry']
+        self.mesh.board.publish_entry('test', key, text.encode())
+        key, text, expires = order['fact']
+        self.mesh.board.publish_fact(Fact('test', key, text.encode(), expires))
+        self.finish(b'{}')
+
+    def get(self):
+        board = self.mesh.board
+        peers = self.mesh.peers.list_peers()
+        entries = {
+            f'{entry.origin}/{entry.key}': entry.payload.decode()
+            for entry in board.read_entries('test')
+        }
+        facts = {
+            fact.key: fact.payload.decode() for fact in board.read_facts('test')
+        }
+        known = {
+            'peers': sorted(peer.name for peer in peers),
+            'entries': entries,
+            'facts': facts,
+        }
+        self.finish(json.encode(known))
+
+
+def make_settings(name, zone, mesh_port, peers):
+    """Return settings in which only the mesh's matter."""
+    return EntrySettings(
+        host_name=name,
+        zone=zone,
+        region='region',
+        listen_address='',
+        mesh_address=f'127.0.0.1:{mesh_port}',
+        platform_address='',
+        peers=tuple(f'127.0.0.1:{port}' for port in peers),
+        log_json=False,
+        drain_seconds=1,
+        max_body_bytes=1,
+    )
+
+
+async def serve(port, name, zone, mesh_port, advertised, *peers):
+    """Serve until killed, or until asked to leave."""
+    mesh = Mesh(
+        make_settings(name, zone, mesh_port, peers),
+        SystemClock(),
+        f'127.0.0.1:{advertised}',
+    )
+    await mesh.start()
+    Application([('/control', ControlHandler, {'mesh': mesh})]).listen(
+        int(port), '127.0.0.1'
+    )
+    leaving = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, leaving.set)
+    await leaving.wait()
+    await mesh.announce_leaving()
+    await mesh.stop()
+
+
+if __name__ == '__main__':
+    IOLoop.current().run_sync(lambda: serve(*sys.argv[1:]))
--- /dev/null
+++ b/tests/standins/relay.py
@@ -0,0 +1,128 @@
+"""Forward loopback connections, and silence those between cut processes.
+
+A relay stands before each host's address. Which process opened a connection
+is told from its local port, so that a cut holds in both directions.
+"""
+
+import asyncio
+import contextlib
+import threading
+from dataclasses import dataclass
+
+import psutil
+
+
+class Relays:
+    """Own the relays of one test in a thread with a loop."""
+
+    def __init__(self):
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._pids = {}
+        self._servers = []
+        self._cuts = set()
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_):
+        asyncio.run_coroutine_threadsafe(self._close(), self._loop).result()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def add(self, name, port, target):
+        """Forward a port to the port of the named host."""
+
+        async def serve():
+            async def accept(reader, writer):
+                with contextlib.suppress(asyncio.CancelledError):
+                    await self._forward(name, target, reader, writer)
+
+            self._servers.append(
+                await asyncio.start_server(accept, '127.0.0.1', port)
+            )
+
+        asyncio.run_coroutine_threadsafe(serve(), self._loop).result()
+
+    def know(self, name, pid):
+        """Learn which process is the named host's."""
+        self._pids[name] = pid
+
+    def cut(self, *pairs):
+        """Silence all connections between the hosts of each pair."""
+        self._cuts.update(map(frozenset, pairs))
+
+    def heal(self):
+        """Let new connections through; silenced ones stay silent."""
+        self._cuts.clear()
+
+    async def _close(self):
+        for server in self._servers:
+            server.close()
+        running = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        # Lets the loop close the transports.
+        await asyncio.sleep(0.05)
+
+    async def _forward(self, name, target, reader, writer):
+        # One local port may serve several connections, so both ends count.
+        ends = (
+            writer.get_extra_info('peername')[1],
+            writer.get_extra_info('sockname')[1],
+        )
+        try:
+            out_reader, out_writer = await asyncio.open_connection(
+                '127.0.0.1', target
+            )
+        except OSError:
+            writer.close()
+            return
+        link = _Link(name, ends)
+        await asyncio.gather(
+            self._pump(link, reader, out_writer),
+            self._pump(link, out_reader, writer),
+        )
+
+    async def _pump(self, link, reader, writer):
+        try:
+            while content := await reader.read(65_536):
+                if not self._is_silenced(link):
+                    writer.write(content)
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    def _is_silenced(self, link):
+        if self._cuts and not link.source:
+            link.source = self._find_source(link.ends)
+        pair = frozenset((link.name, link.source))
+        link.silenced = link.silenced or pair in self._cuts
+        return link.silenced
+
+    def _find_source(self, ends):
+        for name, pid in self._pids.items():
+            try:
+                connections = psutil.Process(pid).net_connections('tcp')
+            except psutil.Error:
+                continue
+            if any(_read_ends(one) == ends for one in connections):
+                return name
+        return 'unknown'
+
+
+@dataclass
+class _Link:
+    name: str
+    ends: tuple
+    source: str = ''
+    silenced: bool = False
+
+
+def _read_ends(connection):
+    remote = connection.raddr.port if connection.raddr else None
+    return (connection.laddr.port, remote)
