--- a/src/monsoonwall/mesh/store.py
+++ b/src/monsoonwall/mesh/store.py
@@ -123,11 +123,6 @@
         """Return the entries of a kind from all logs."""
         return tuple(self._entries.get(kind, {}).values())
 
-    def find_zone(self, log_name: str) -> str | None:
-        """Return the zone whose group holds a log."""
-        log = self.logs.find(log_name)
-        return log.zone if log else None
-
     def list_hosts(self) -> tuple['HostLog', ...]:
         """Return what the logs of other hosts say of their writers.
 
@@ -145,6 +140,11 @@
             self._drop(name)
         return gone
 
+    def forget(self, name: str) -> None:
+        """Drop a log until it is heard with a later pulse."""
+        self.membership.remove(name)
+        self._drop(name)
+
     def hear(self, log: OriginLog, heartbeat: int, now: float) -> None:
         """Take in a heartbeat of a known log."""
         if log.name in self._own_logs:
@@ -175,8 +175,7 @@
             self._take_record(log, record)
         host = self._hosts.get(log.name)
         if host is not None and host.record.left:
-            self.membership.remove(log.name)
-            self._drop(log.name)
+            self.forget(log.name)
 
     def _take_record(self, log: OriginLog, record: LogRecord) -> None:
         if record.kind == HOST_KIND:
--- a/src/monsoonwall/mesh/summaries.py
+++ b/src/monsoonwall/mesh/summaries.py
@@ -62,7 +62,8 @@
         own_zone = self._store.own.zone
         grouped: dict[str, list[bytes]] = {}
         for entry in self._store.read_entries(kind):
-            if self._store.find_zone(entry.origin) == own_zone:
+            log = self._store.logs.find(entry.origin)
+            if log is not None and log.zone == own_zone:
                 grouped.setdefault(entry.key, []).append(entry.payload)
         return grouped
 
--- /dev/null
+++ b/tests/mesh/test_logs.py
@@ -0,0 +1,30 @@
+"""Check that a log is never anything but a state of its origin."""
+
+import unittest
+
+from monsoonwall.mesh.logs import LogTable, OriginLog
+from monsoonwall.mesh.wire.gossip_pb2 import LogRecord
+
+
+class LogTest(unittest.TestCase):
+    """Hand deltas of one origin to a table."""
+
+    def setUp(self):
+        self.log = OriginLog('north', 'zone', 7)
+        for number in (1, 2, 3):
+            self.log.put(
+                LogRecord(kind='kind', key=f'{number}', sequence=number)
+            )
+        self.table = LogTable()
+
+    def test_gap(self):
+        self.table.apply(self.log.make_delta(0, 1))
+        self.assertEqual(self.table.apply(self.log.make_delta(2, 100)), ())
+        self.assertEqual(self.table.find('north').sequence, 1)
+
+    def test_earlier_incarnation(self):
+        self.table.apply(self.log.make_delta(0, 100))
+        earlier = OriginLog('north', 'zone', 6)
+        earlier.put(LogRecord(kind='kind', key='old', sequence=9))
+        self.assertEqual(self.table.apply(earlier.make_delta(0, 100)), ())
+        self.assertEqual(self.table.find('north').incarnation, 7)
--- a/tests/mesh/test_merge.py
+++ b/tests/mesh/test_merge.py
@@ -6,6 +6,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass
+from itertools import permutations
 
 from hypothesis import settings, strategies
 from hypothesis.stateful import (
@@ -24,6 +25,7 @@
 KEYS = ('load', 'evidence', 'cache')
 # So small that most deltas are cut short.
 MAX_NEWS_BYTES = 60
+ROUND_SECONDS = 0.5
 
 hosts = strategies.sampled_from(NAMES)
 keys = strategies.sampled_from(KEYS)
@@ -94,6 +96,11 @@
         self.oracle.facts.add(fact)
         self.hosts[name].merge_fact(fact, self.now)
 
+    @rule(name=hosts, other=hosts)
+    def judge_gone(self, name, other):
+        if name != other:
+            self.hosts[name].store.forget(other)
+
     @rule(source=hosts, asked=hosts)
     def ask(self, source, asked):
         request = self.hosts[source].exchanger.make_request(())
@@ -117,12 +124,16 @@
     def lose(self, position):
         self.under_way.pop(position % len(self.under_way))
 
-    @rule(seconds=strategies.floats(0.1, 3), paused=strategies.sets(hosts))
-    def wait(self, seconds, paused):
-        self.now += seconds
-        for name in NAMES:
-            if name not in paused:
-                self.hosts[name].store.begin_round(self.now, self.now)
+    @rule(
+        rounds=strategies.integers(1, 10),
+        paused=strategies.sets(hosts, max_size=2),
+    )
+    def wait(self, rounds, paused):
+        for _ in range(rounds):
+            self.now += ROUND_SECONDS
+            for name in NAMES:
+                if name not in paused:
+                    self.hosts[name].store.begin_round(self.now, self.now)
 
     def take(self, message):
         exchanger = self.hosts[message.target].exchanger
@@ -162,14 +173,7 @@
     def teardown(self):
         """Once all messages arrive, everybody knows all there is."""
         standing = self.merge_naively()
-        for _ in range(60):
-            self.wait(0.25, set())
-            for source in NAMES:
-                for target in NAMES:
-                    self.under_way = []
-                    self.ask(source, target)
-                    while self.under_way:
-                        self.deliver(0, again=False)
+        self.converse(NAMES, 30)
         for host in self.hosts.values():
             latest = {
                 (name, key): payload
@@ -187,6 +191,26 @@
                 fact for fact in standing if fact.expires_wall > self.now
             }
 
+        self.check_silence()
+
+    def check_silence(self):
+        """A host that says no more is forgotten, and not revived."""
+        silent, *others = NAMES
+        self.converse(others, 60)
+        for name in others:
+            assert self.hosts[name].store.logs.find(silent) is None
+
+    def converse(self, names, rounds):
+        """Let all of some hosts exchange undisturbed, round after round."""
+        for _ in range(rounds):
+            for source, asked in permutations(names, 2):
+                self.now += ROUND_SECONDS / 6
+                self.hosts[source].store.begin_round(self.now, self.now)
+                self.under_way = []
+                self.ask(source, asked)
+                while self.under_way:
+                    self.deliver(0, again=False)
+
     def merge_naively(self):
         """Return the greatest live fact of each key that any host holds."""
         found = {}
--- /dev/null
+++ b/tests/mesh/test_wide.py
@@ -0,0 +1,75 @@
+"""Check a fleet too large for full exchange, through relays and cuts."""
+
+import struct
+import unittest
+
+from benchmarks.fleet import Fleet
+from monsoonwall.decisions.gossip import Duty, decide_duty
+from monsoonwall.mesh.board import Fact
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+HOSTS_PER_ZONE = 14
+# The rounds in which each host of the zone, then each relay, has its turn.
+SETTLING_SECONDS = 40
+
+
+def merge_counts(payloads):
+    total = sum(struct.unpack('>Q', payload)[0] for payload in payloads)
+    return struct.pack('>Q', total)
+
+
+class WideFleetTest(unittest.TestCase):
+    """Let every host count one, and read the total everywhere."""
+
+    def setUp(self):
+        self.fleet = Fleet(seeds=tuple(f'{zone}-0' for zone in ZONES))
+        for zone in ZONES:
+            for index in range(HOSTS_PER_ZONE):
+                host = self.fleet.start(f'{zone}-{index}', zone)
+                host.planner.summaries.declare_merge('count', merge_counts)
+                host.publish('count', 'all', struct.pack('>Q', 1))
+        self.fleet.run(SETTLING_SECONDS)
+
+    def read_total(self, host):
+        entries = host.planner.roster.read_entries('count')
+        payloads = [entry.payload for entry in entries]
+        return struct.unpack('>Q', merge_counts(payloads))[0]
+
+    def check_totals(self, expected, zones=ZONES):
+        totals = {
+            host.name: self.read_total(host)
+            for host in self.fleet.hosts.values()
+            if host.zone in zones
+        }
+        self.assertEqual(totals, dict.fromkeys(totals, expected))
+
+    def find_lead(self, zone):
+        return next(
+            host
+            for host in self.fleet.hosts.values()
+            if host.zone == zone
+            and decide_duty(host.store.own, host.planner.roster.list_peers())
+            is Duty.lead
+        )
+
+    def test_totals_over_the_loss_of_a_lead(self):
+        self.check_totals(3 * HOSTS_PER_ZONE)
+        self.fleet.hosts.pop(self.find_lead('zone-a').name)
+        self.fleet.run(SETTLING_SECONDS)
+        self.check_totals(3 * HOSTS_PER_ZONE - 1)
+
+    def test_cut_zone(self):
+        self.fleet.cuts = {frozenset(('zone-a', other)) for other in ZONES[1:]}
+        self.fleet.run(SETTLING_SECONDS)
+        self.check_totals(HOSTS_PER_ZONE, ZONES[:1])
+        self.check_totals(2 * HOSTS_PER_ZONE, ZONES[1:])
+        fact = Fact('verdict', 'key', b'value', self.fleet.now + 600)
+        reached = self.fleet.spread(self.fleet.hosts['zone-a-3'], fact)
+        self.assertTrue(all(name.startswith('zone-a') for name in reached))
+        self.fleet.cuts = set()
+        self.fleet.run(SETTLING_SECONDS)
+        self.check_totals(3 * HOSTS_PER_ZONE)
+        for host in self.fleet.hosts.values():
+            self.assertEqual(
+                host.store.facts.read('verdict', self.fleet.now), (fact,)
+            )
