Run the mesh's process tests with the settings of the platform client

Cause: the stand-in host built its settings without the two call rates. Before: 1 of 100 tests failed at set-up. After: its 4 tests pass.

--- a/tests/standins/mesh_host.py
+++ b/tests/standins/mesh_host.py
@@ -63,6 +63,8 @@
         log_json=False,
         drain_seconds=1,
         max_body_bytes=1,
+        platform_reads_per_second=1,
+        platform_writes_per_second=1,
     )
 
 
