--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,184 @@
+"""Run the example deployments on stand-ins and call them as callers do.
+
+With --keep everything goes on running until Ctrl-C, for trying calls and
+operators' commands by hand.
+"""
+
+import signal
+import sys
+from dataclasses import dataclass
+from hashlib import sha256
+from typing import Any
+
+from msgspec import json
+
+from tests.standins.deployment import (
+    API_KEY,
+    ROOT,
+    Deployment,
+    Reply,
+    find_free_port,
+    wait_until,
+)
+
+KEEP_FLAG = '--keep'
+
+
+@dataclass(frozen=True)
+class Example:
+    """Name an example configuration and the calls that show it."""
+
+    name: str
+    model_route: str
+    service: str
+    claimed_path: str
+
+
+EXAMPLES = (
+    Example('association', 'hotline', 'ledger', '/reservations'),
+    Example('hivatal', 'foreman-query', 'registry', '/certificates'),
+)
+
+
+def run_demo(keep: bool) -> None:
+    """Start each example, call it, and tell how to call it by hand."""
+    running = []
+    try:
+        for example in EXAMPLES:
+            deployment = Deployment()
+            running.append(deployment)
+            _start_example(deployment, example)
+            _show_example(deployment, example)
+        if keep:
+            _print('Everything goes on running. Press Ctrl-C to end it.')
+            signal.pause()
+    except KeyboardInterrupt:
+        _print('Ending.')
+    finally:
+        for deployment in running:
+            deployment.__exit__()
+
+
+def _start_example(deployment: Deployment, example: Example) -> None:
+    path = ROOT / 'examples' / f'{example.name}.json'
+    document = json.decode(path.read_bytes())
+    # The examples hold only digests of keys; the first workspace gets one
+    # that this script knows.
+    first = next(iter(document['workspaces'].values()))
+    first['api_key_sha256'] = sha256(API_KEY.encode()).hexdigest()
+    _start_servers(deployment, document)
+    deployment.start_platform()
+    deployment.put_configuration(document)
+    servers = document['backend_servers'].values()
+    zones = sorted({declared['zone'] for declared in servers})
+    _start_entries(deployment, zones)
+    _print(
+        f'\n== {example.name}: {len(servers)} backend servers and '
+        f'{len(zones)} entry hosts in {len(zones)} zones'
+    )
+
+
+def _start_servers(deployment: Deployment, document: dict[str, Any]) -> None:
+    services = document['services']
+    for name, declared in document['backend_servers'].items():
+        if services[declared['service']]['kind'] == 'model':
+            deployment.start_engine(name, declared['version'])
+        else:
+            deployment.start_ledger(name)
+        declared['address'] = f'127.0.0.1:{deployment.ports[name]}'
+
+
+def _start_entries(deployment: Deployment, zones: list[str]) -> None:
+    hosts = [f'entry-{zone}' for zone in zones]
+    # All hosts know all addresses from the start, as their settings say.
+    for host in hosts:
+        deployment.mesh_ports[host] = find_free_port()
+    for host, zone in zip(hosts, zones, strict=True):
+        deployment.start_entry(host, zone)
+    deployment.wait_ready(*hosts)
+
+
+def _show_example(deployment: Deployment, example: Example) -> None:
+    hosts = [name for name in deployment.ports if name.startswith('entry-')]
+    _wait_for_servers(deployment, hosts[0], example)
+    streamed = deployment.send(
+        hosts[0],
+        'POST',
+        '/v1/chat/completions',
+        {
+            'model': example.model_route,
+            'messages': [{'role': 'user', 'content': 'Is the desk open?'}],
+            'max_tokens': 8,
+            'stream': True,
+        },
+    )
+    events = streamed.body.decode().strip().split('\n\n')
+    _print(f'a streamed answer through {hosts[0]}, {len(events)} events:')
+    _print(f'   {events[0]}\n   ...\n   {events[-1]}')
+    for host in hosts[:2]:
+        reply = _claim(deployment, host, example)
+        _print(f'the call with key demo-1 through {host}: {reply.body!r}')
+    executed = _count_executed(deployment, 'demo-1')
+    _print(f'it was executed {executed} time(s) by the backend servers')
+    _print_hints(deployment, hosts[0], example)
+
+
+def _wait_for_servers(
+    deployment: Deployment, host: str, example: Example
+) -> None:
+    wait_until(
+        lambda: (
+            deployment.send(
+                host,
+                'POST',
+                '/v1/completions',
+                {
+                    'model': example.model_route,
+                    'prompt': 'hello',
+                    'max_tokens': 1,
+                },
+            ).status
+            == 200
+        )
+    )
+
+
+def _claim(deployment: Deployment, host: str, example: Example) -> Reply:
+    return deployment.send(
+        host,
+        'POST',
+        f'/services/{example.service}{example.claimed_path}',
+        {'packets': 4},
+        {'Idempotency-Key': 'demo-1'},
+    )
+
+
+def _count_executed(deployment: Deployment, key: str) -> int:
+    total = 0
+    for name in deployment.ports:
+        if name.startswith(('ledger', 'registry')):
+            told: Any = deployment.send(name, 'GET', '/control').read_json()
+            total += sum(call['key'] == key for call in told['executed'])
+    return total
+
+
+def _print_hints(deployment: Deployment, host: str, example: Example) -> None:
+    port = deployment.ports[host]
+    _print(f'with {KEEP_FLAG}, from another shell:')
+    _print(
+        f'   curl -N http://127.0.0.1:{port}/v1/completions '
+        f'-H "Authorization: Bearer {API_KEY}" -d '
+        f'\'{{"model": "{example.model_route}", "prompt": "hello", '
+        '"max_tokens": 20, "stream": true}\''
+    )
+    _print(f'   .venv/bin/monsoonwall status --entry_address=127.0.0.1:{port}')
+    _print(f'   curl http://127.0.0.1:{port}/metrics')
+
+
+def _print(text: str) -> None:
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    run_demo(KEEP_FLAG in sys.argv)
--- /dev/null
+++ b/tests/shipping/__init__.py
@@ -0,0 +1,1 @@
+"""Test what is shipped."""
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -76,6 +76,9 @@
     processes: dict = field(default_factory=dict)
     ports: dict = field(default_factory=dict)
     mesh_ports: dict = field(default_factory=dict)
+    environment: dict = field(
+        default_factory=lambda: {'PYTHONPATH': f'{ROOT / "src"}:{ROOT}'}
+    )
 
     def __enter__(self):
         return self
@@ -98,7 +101,7 @@
     def start_ledger(self, name):
         self._start(name, 'tests.standins.ledger')
 
-    def start_entry(self, name, zone, *flags):
+    def start_entry(self, name, zone, *flags, command=None):
         """Start an entry host, telling it of the ones started before."""
         port = self.ports.get(name) or find_free_port()
         mesh = self.mesh_ports.get(name) or find_free_port()
@@ -111,8 +114,7 @@
         self.mesh_ports[name] = mesh
         self._spawn(
             name,
-            '-m',
-            'monsoonwall',
+            *(command or (sys.executable, '-m', 'monsoonwall')),
             'entry',
             f'--host_name={name}',
             f'--zone={zone}',
@@ -155,19 +157,16 @@
     def _start(self, name, module, *arguments):
         port = self.ports.get(name) or find_free_port()
         self.ports[name] = port
-        self._spawn(name, '-m', module, str(port), *arguments)
+        self._spawn(name, sys.executable, '-m', module, str(port), *arguments)
         if not wait_until(lambda: self.send(name, 'GET', '/control')):
             raise AssertionError(f'{name} did not start')
 
     def _spawn(self, name, *arguments):
-        environment = {
-            **os.environ,
-            'PYTHONPATH': f'{ROOT / "src"}:{ROOT}',
-        }
+        environment = {**os.environ, **self.environment}
         log = os.environ.get('MONSOONWALL_TEST_LOG')
         with open(log or os.devnull, 'a', encoding='utf-8') as sink:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, *arguments],
+                arguments,
                 cwd=ROOT,
                 env=environment,
                 stdout=sink,
