Test version moves by fuzzing, seeded play and real processes

The naive fixed steps finish a move to a version twice as slow and take back a good one at an overload (PlayedMovesTest.test_naive_rollout).

--- a/src/monsoonwall/decisions/traffic.py
+++ b/src/monsoonwall/decisions/traffic.py
@@ -26,7 +26,6 @@
 _SHORTEST_STEP_SECONDS: Final = 0.5
 _LONGEST_STEP_SECONDS: Final = 15.0
 _MIN_FULL_TRIALS: Final = 40
-_LEAST_SHARE: Final = 0.001
 
 
 @dataclass(frozen=True)
@@ -57,7 +56,7 @@
 
 def plan_share(pace: Pace, now_wall: float) -> float:
     """Return the part of the requests that goes to the new version now."""
-    if now_wall < pace.begin_wall:
+    if now_wall < pace.begin_wall or pace.rate is None:
         return 0
     span = max(1.0, pace.deadline_wall - pace.begin_wall)
     elapsed = (now_wall - pace.begin_wall) / span
@@ -88,12 +87,10 @@
 
 
 def _grow_share(pace: Pace, span: float, elapsed: float) -> float:
-    if pace.rate is None:
-        return min(_LEAST_SHARE, pace.fair_share)
     # The share grows by a constant factor a second, so that each step is as
     # large against what is known as the one before, and fits the time left.
     first = FIRST_REQUESTS / max(pace.rate * span * _FIRST_STEP, 1)
-    first = min(max(first, _LEAST_SHARE), pace.fair_share)
+    first = min(first, pace.fair_share)
     if elapsed <= _FIRST_STEP:
         return first
     climbed = min(1, (elapsed - _FIRST_STEP) / (_FAIR_AT - _FIRST_STEP))
@@ -103,4 +100,4 @@
 def _limit_share(pace: Pace, span: float) -> float:
     requests = max(FIRST_REQUESTS, pace.judged)
     step = min(max(span * _STEP, _SHORTEST_STEP_SECONDS), _LONGEST_STEP_SECONDS)
-    return requests / max((pace.rate or 0) * step, 1)
+    return requests / max(pace.rate * step, 1)
--- /dev/null
+++ b/tests/decisions/test_moves_evidence.py
@@ -0,0 +1,148 @@
+"""Check that many hosts' counters become the same evidence everywhere."""
+
+import unittest
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from monsoonwall.configuration.model import BackendServer
+from monsoonwall.decisions.evidence import (
+    MAX_GROUPS,
+    EvidenceCounter,
+    EvidencePool,
+    ServerGroups,
+    Side,
+    add_evidence,
+)
+from monsoonwall.pipeline.messages import (
+    AttemptEnding,
+    AttemptRecord,
+    Call,
+    Priority,
+    ServerChoice,
+)
+
+HOSTS = st.sampled_from(('entry-0', 'entry-1', 'entry-2'))
+SIDES = st.sampled_from(Side)
+ENDINGS = st.sampled_from(AttemptEnding)
+IGNORED = {
+    AttemptEnding.busy,
+    AttemptEnding.reclaimed,
+    AttemptEnding.cut,
+    AttemptEnding.cancelled,
+}
+
+
+def make_record(ending=AttemptEnding.completed, content='a', server='e-1'):
+    """Return an ended attempt."""
+    call = Call(
+        'entry-0.1',
+        'depot',
+        'hotline',
+        'assistant',
+        Priority.interactive,
+        True,
+        None,
+        100,
+        content,
+    )
+    choice = ServerChoice(server, 'zone-a', 'v2')
+    return AttemptRecord(call, 1, choice, 0, 0.2, 1, 5, 10, 0, ending)
+
+
+class EvidenceMachine(RuleBasedStateMachine):
+    """Count on three hosts and read them at any time, in any order.
+
+    The oracle is one tally of everything that a reader was shown.
+    """
+
+    @initialize()
+    def start(self):
+        self.counters = {}
+        self.epoch = 0
+        self.pool = EvidencePool()
+        self.unread = {}
+        self.expected = Counter()
+        self.found = Counter()
+
+    @rule(host=HOSTS, side=SIDES, ending=ENDINGS)
+    def count(self, host, side, ending):
+        if host not in self.counters:
+            self.restart(host)
+        self.counters[host].count_attempt(make_record(ending), side, 0)
+        ended = Counter(ended=side is Side.new)
+        if ending not in IGNORED:
+            ended[side] += 1
+        self.unread[host].update(ended)
+
+    @rule(host=HOSTS)
+    def restart(self, host):
+        """Begin again at zero; what was not published is lost."""
+        self.epoch += 1
+        self.counters[host] = EvidenceCounter(self.epoch)
+        self.unread[host] = Counter()
+
+    @rule(host=HOSTS)
+    def read(self, host):
+        if host not in self.counters:
+            return
+        increment = self.pool.take(host, self.counters[host].freeze())
+        self.expected.update(self.unread[host])
+        self.unread[host] = Counter()
+        self.found['ended'] += increment.ended_new
+        for cell in increment.cells:
+            self.found[cell.key.side] += cell.trials
+
+    @invariant()
+    def match_oracle(self):
+        if hasattr(self, 'found'):
+            assert +self.found == +self.expected
+
+
+class EvidenceMachineTest(EvidenceMachine.TestCase):
+    """Run the machine."""
+
+    settings = settings(max_examples=60, stateful_step_count=30)
+
+
+class EvidenceTest(unittest.TestCase):
+    """Check how evidence is summed and grouped."""
+
+    def count_hosts(self, *numbers):
+        return [self.count_host(number) for number in numbers]
+
+    def count_host(self, number):
+        counter = EvidenceCounter(number)
+        for _ in range(number):
+            counter.count_attempt(make_record(), Side.new, 0)
+        return counter.freeze()
+
+    def test_zone_summary(self):
+        pool = EvidencePool()
+        three = add_evidence(self.count_hosts(2, 3, 4))
+        self.assertEqual(three.cells[0].trials, 9)
+        # The hosts were read one by one before the fleet became wide.
+        self.assertEqual(pool.take_summary('zone/a', three).cells, ())
+        one_left = add_evidence(self.count_hosts(2, 3))
+        self.assertEqual(pool.take_summary('zone/a', one_left).cells, ())
+        grown = add_evidence(self.count_hosts(2, 5))
+        taken = pool.take_summary('zone/a', grown)
+        self.assertEqual(taken.cells[0].trials, 2)
+
+    def test_server_groups(self):
+        servers = {
+            f'engine-{index}': BackendServer('assistant', 'v2', 'zone-a', '')
+            for index in range(40)
+        }
+        few = ServerGroups(dict(list(servers.items())[:9]), 'assistant', 'v2')
+        self.assertEqual(len({few.find(f'engine-{at}') for at in range(9)}), 9)
+        many = ServerGroups(servers, 'assistant', 'v2')
+        found = {many.find(name) for name in servers}
+        self.assertEqual(found, set(range(MAX_GROUPS)))
--- /dev/null
+++ b/tests/decisions/test_moves_played.py
@@ -0,0 +1,44 @@
+"""Play a small, seeded part of the moves that the benchmark measures."""
+
+import unittest
+
+from benchmarks.move_scenarios import HIVATAL, SCENARIOS, MovePlay
+from benchmarks.version_moves import FixedStepCourse
+from monsoonwall.decisions.moves import Phase
+
+BAD_SEEDS = range(3)
+GOOD_SEEDS = range(1)
+
+
+def play(kind, seed, *course):
+    """Play one move of a kind."""
+    return MovePlay(HIVATAL, SCENARIOS[kind](), seed, *course).play()
+
+
+class PlayedMovesTest(unittest.TestCase):
+    """Compare how moves end with how they should."""
+
+    def test_bad_versions(self):
+        for kind, make_scenario in SCENARIOS.items():
+            if make_scenario().good:
+                continue
+            for seed in BAD_SEEDS:
+                with self.subTest(kind=kind, seed=seed):
+                    self.assertIs(play(kind, seed).phase, Phase.withdrawn)
+
+    def test_good_versions(self):
+        for kind, make_scenario in SCENARIOS.items():
+            if not make_scenario().good:
+                continue
+            for seed in GOOD_SEEDS:
+                with self.subTest(kind=kind, seed=seed):
+                    played = play(kind, seed)
+                    self.assertIs(played.phase, Phase.done)
+                    self.assertTrue(played.on_time)
+
+    def test_naive_rollout(self):
+        """The fixed steps miss a slow version and blame good ones."""
+        slow = play('slow at once', 0, FixedStepCourse)
+        self.assertIs(slow.phase, Phase.done)
+        overload = play('good, overload', 0, FixedStepCourse)
+        self.assertIs(overload.phase, Phase.withdrawn)
--- /dev/null
+++ b/tests/decisions/test_moves_traffic.py
@@ -0,0 +1,68 @@
+"""Check how a move shares its traffic over time."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from monsoonwall.decisions.traffic import (
+    FIRST_REQUESTS,
+    Pace,
+    find_position,
+    plan_share,
+)
+
+SPAN = 1000
+TENTH = 0.1
+RATES = st.none() | st.floats(0, 32_000)
+PACES = st.builds(
+    Pace,
+    st.just(0),
+    st.just(SPAN),
+    RATES,
+    st.floats(0.01, 0.99),
+    st.floats(0, 500),
+    st.integers(0, 5000),
+    st.booleans(),
+)
+
+
+class TrafficTest(unittest.TestCase):
+    """Check shares and positions."""
+
+    def check_between(self, share, most):
+        self.assertGreaterEqual(share, 0)
+        self.assertLessEqual(share, most)
+
+    @given(PACES, st.floats(-SPAN, 3 * SPAN))
+    def test_share_bounds(self, pace, now):
+        share = plan_share(pace, now)
+        if now < 0:
+            self.assertEqual(share, 0)
+        elif share < 1:
+            self.check_between(share, pace.fair_share)
+        else:
+            # Nothing unproven or suspected ever takes all requests.
+            self.assertFalse(pace.suspected)
+            self.assertGreater(pace.judged, 0)
+
+    @given(PACES, st.floats(0, SPAN / 2))
+    def test_unanswered(self, pace, now):
+        """Nothing more is sent while what was sent is not known to work."""
+        if pace.unanswered >= max(FIRST_REQUESTS, pace.judged):
+            self.assertEqual(plan_share(pace, now), 0)
+
+    @given(st.floats(0.1, 32_000), st.floats(0.1, 0.9))
+    def test_first_requests(self, rate, fair_share):
+        """The first step is a number of requests, whatever the rate."""
+        pace = Pace(0, SPAN, rate, fair_share, 0, 0, False)
+        sent = plan_share(pace, 0) * rate * SPAN / 20
+        self.assertLessEqual(sent, FIRST_REQUESTS * 1.001)
+
+    def test_positions(self):
+        """Positions are even, and independent of each other's moves."""
+        ids = [f'entry-{number % 8}.{number}' for number in range(4000)]
+        first = {one for one in ids if find_position('a', one) < TENTH}
+        second = {one for one in ids if find_position('b', one) < TENTH}
+        self.assertAlmostEqual(len(first) / len(ids), TENTH, delta=0.02)
+        self.assertLess(len(first & second), len(first) / 4)
--- /dev/null
+++ b/tests/entry/test_moves_conclusions.py
@@ -0,0 +1,216 @@
+"""Check how conclusions of moves spread, last and are lifted."""
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from monsoonwall.clocks import ManualClock
+from monsoonwall.configuration.model import (
+    BackendServer,
+    Configuration,
+    Move,
+    Service,
+    ServiceKind,
+    Version,
+)
+from monsoonwall.decisions.moves import Conclusion, MoveCourse, Phase, Plan
+from monsoonwall.entry.moving import MovingTask, MovingVersionChoice
+from monsoonwall.mesh.board import LocalBoard
+from monsoonwall.moves.records import (
+    CONCLUSION_KIND,
+    ConclusionBoard,
+    ConclusionStore,
+)
+from monsoonwall.pipeline.messages import AttemptEnding
+from tests.claims.stores import FaultyStore
+from tests.decisions.test_moves_evidence import make_record
+
+MOVE = Move('assistant', 'v1', 'v2', 1000, 2000)
+WITHDRAWN = Conclusion(Phase.withdrawn, 'wrong answers', 1100, 7)
+DONE = Conclusion(Phase.done, 'no fault found', 1900, 700)
+CONCLUSIONS = st.lists(
+    st.builds(
+        Conclusion,
+        st.sampled_from((Phase.done, Phase.withdrawn)),
+        st.text(max_size=5),
+        st.floats(0, 9000),
+        st.integers(0, 900),
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+def make_configuration(number=1, active='v1', **moves):
+    """Return a configuration with two servers of each version."""
+    versions = {'v1': Version(), 'v2': Version(), 'v3': Version()}
+    return Configuration(
+        number,
+        {'assistant': Service(ServiceKind.model, versions, active)},
+        backend_servers={
+            f'{version}-{zone}': BackendServer('assistant', version, zone, '')
+            for version in versions
+            for zone in ('zone-a', 'zone-b')
+        },
+        moves=moves,
+    )
+
+
+class ConclusionTest(unittest.TestCase):
+    """Check what hosts make of conclusions alone."""
+
+    @given(CONCLUSIONS, st.randoms(use_true_random=False))
+    def test_any_order(self, conclusions, random):
+        """All hosts end alike, and a withdrawal stands before all else."""
+        phases = set()
+        for _ in range(3):
+            random.shuffle(conclusions)
+            board = LocalBoard('entry-0')
+            course = MoveCourse(Plan('move', MOVE, 2, 2))
+            for conclusion in conclusions:
+                course.conclude(conclusion)
+                ConclusionBoard(board).spread('move', conclusion)
+            kept = ConclusionBoard(board).read()['move']
+            phases.update((course.conclusion.phase, kept.phase))
+        found = {ending.phase for ending in conclusions}
+        expected = max(found, key=[Phase.done, Phase.withdrawn].index)
+        self.assertEqual(phases, {expected})
+
+    @given(
+        CONCLUSIONS,
+        st.lists(
+            st.sampled_from(('ok', 'unavailable', 'lost_done', 'lost_undone'))
+        ),
+    )
+    def test_record(self, conclusions, faults):
+        """The platform keeps a withdrawal whatever its answers."""
+        store = FaultyStore()
+        store.faults.extend(faults)
+        records = ConclusionStore(store)
+        for conclusion in conclusions:
+            tries = len(faults) + 1
+            while not asyncio.run(records.record('move', conclusion)):
+                tries -= 1
+                self.assertGreater(tries, 0)
+        store.faults.clear()
+        kept = asyncio.run(records.read('move')).unwrap()
+        found = {ending.phase for ending in conclusions}
+        withdrawn = Phase.withdrawn in found
+        self.assertIs(kept.phase is Phase.withdrawn, withdrawn)
+
+
+class MovingTaskTest(unittest.TestCase):
+    """Check one host's task on a board of its own."""
+
+    def setUp(self):
+        self.clock = ManualClock(1000)
+        self.board = LocalBoard('entry-0')
+        self.task = self.make_task()
+        self.task.adopt(Configuration(0))
+
+    def make_task(self):
+        return MovingTask(self.board, FaultyStore(), self.clock, 'entry-0')
+
+    def adopt(self, configuration):
+        self.task.adopt(configuration)
+        self.versions = MovingVersionChoice(configuration, self.task)
+
+    def spread(self, move, conclusion):
+        identity = Plan('move', move, 2, 2).identity
+        ConclusionBoard(self.board).spread(identity, conclusion)
+
+    def choose(self, number=0):
+        call = replace(make_record().call, request_id=f'entry-0.{number}')
+        return self.versions.choose_version(call, 0)
+
+    def find_phase(self):
+        return self.task.describe_moves()[0].phase
+
+    def test_lifted_by_patch(self):
+        """Another patch leaves a withdrawal; one of the move lifts it."""
+        self.spread(MOVE, WITHDRAWN)
+        self.adopt(make_configuration(1, move=MOVE))
+        self.assertIs(self.find_phase(), Phase.withdrawn)
+        self.adopt(make_configuration(2, 'v1', move=MOVE, other=MOVE))
+        self.assertIs(self.find_phase(), Phase.withdrawn)
+        again = replace(MOVE, deadline_wall=3000)
+        self.adopt(make_configuration(3, move=again))
+        self.assertIs(self.find_phase(), Phase.under_way)
+
+    def test_done_then_next(self):
+        """Moves follow on each other, before and after the active one."""
+        following = Move('assistant', 'v2', 'v3', 2000, 3000)
+        self.spread(MOVE, DONE)
+        self.adopt(make_configuration(1, move=MOVE, following=following))
+        self.assertEqual(self.choose(), 'v2')
+        self.adopt(make_configuration(2, 'v2', following=following))
+        self.assertEqual(self.choose(), 'v2')
+
+    def test_failed_attempt(self):
+        """Only an answer that has begun stays on the new version."""
+        self.adopt(make_configuration(1, move=MOVE))
+        call = make_record().call
+        self.assertEqual(self.versions.choose_again(call, 'v2', 0, 0), 'v1')
+        self.assertEqual(self.versions.choose_again(call, 'v2', 9, 0), 'v2')
+        self.spread(MOVE, WITHDRAWN)
+        self.adopt(make_configuration(1, move=MOVE))
+        self.assertEqual(self.versions.choose_again(call, 'v2', 9, 0), 'v1')
+
+    def test_restarted_fleet(self):
+        """Without the platform's word a fresh host sends nothing new."""
+        self.task = self.make_task()
+        self.adopt(make_configuration(1, move=MOVE))
+        for _ in range(100):
+            self.clock.advance(1)
+            self.task.decide()
+            chosen = {self.choose(number) for number in range(20)}
+            self.assertEqual(chosen, {'v1'})
+
+    def test_pooled_evidence(self):
+        """Faults on several hosts add up; the one that sees them cuts."""
+        self.adopt(make_configuration(1, move=MOVE))
+        peer = MovingTask(
+            _SharedBoard('entry-1', self.board),
+            FaultyStore(),
+            self.clock,
+            'entry-1',
+        )
+        peer.adopt(Configuration(0))
+        peer.adopt(make_configuration(1, move=MOVE))
+        for number in range(60):
+            for task in (self.task, peer):
+                observe_pair(task, number)
+                task.decide()
+            self.clock.advance(1)
+        self.assertIs(self.find_phase(), Phase.withdrawn)
+        self.assertEqual(len(self.board.read_facts(CONCLUSION_KIND)), 1)
+
+
+class _SharedBoard(LocalBoard):
+    """Publish under another host's name onto one board's records."""
+
+    def __init__(self, origin, shared):
+        super().__init__(origin)
+        self._shared = shared
+
+    def read_entries(self, kind):
+        return (*super().read_entries(kind), *self._shared.read_entries(kind))
+
+    def publish_fact(self, fact):
+        self._shared.publish_fact(fact)
+
+    def read_facts(self, kind):
+        return self._shared.read_facts(kind)
+
+
+def observe_pair(task, number):
+    """Show a task a good old attempt and, at times, a bad new one."""
+    good = make_record(server='v1-zone-a', content=f'old {number}')
+    old_choice = replace(good.choice, version='v1')
+    task.observe(replace(good, choice=old_choice))
+    if number % 6 == 0:
+        server = ('v2-zone-a', 'v2-zone-b')[number % 12 // 6]
+        task.observe(make_record(AttemptEnding.failed, f'new {number}', server))
--- a/tests/entry/test_moves_processes.py
+++ b/tests/entry/test_moves_processes.py
@@ -172,7 +172,9 @@
         self.start_entries()
         callers = Callers(deployment)
         with callers:
-            time.sleep(SPREAD_SECONDS)
+            self.assertTrue(
+                wait_until(lambda: len(self.list_concluded('withdrawn')) == 3)
+            )
         self.assertEqual(self.count_new_attempts(), 0)
         self.assertEqual(set(callers.replies), {'whole'})
 
