--- a/src/monsoonwall/entry/responses.py
+++ b/src/monsoonwall/entry/responses.py
@@ -5,7 +5,7 @@
 
 from msgspec import json
 
-from monsoonwall.pipeline.answers import Answer, Piece
+from monsoonwall.pipeline.answers import Piece, Position
 from monsoonwall.pipeline.messages import Call, Refusal, RefusalReason
 
 SERVICE_UNAVAILABLE: Final = 503
@@ -24,6 +24,7 @@
         RefusalReason.crashing_request: 422,
         RefusalReason.deadline_passed: 504,
         RefusalReason.outcome_unknown: 504,
+        RefusalReason.answer_diverged: 409,
         RefusalReason.internal: 500,
     }
 )
@@ -50,12 +51,13 @@
 def format_event(call: Call, piece: Piece) -> bytes:
     """Return the server-sent events of one piece of an answer.
 
-    The event id is the request id and the number of tokens that the caller
-    has after it, so that a caller can resume from the last one it saw.
+    The event id is the request id, the number of tokens that the caller has
+    after it and a hash of their text, so that a caller can resume from the
+    last one it saw and is told if the answer went on differently.
     """
     events = b''
     seen = piece.offset + len(piece.tokens)
-    event_id = f'{call.request_id}:{seen}'.encode()
+    event_id = f'{call.request_id}:{seen}:{piece.digest}'.encode()
     if piece.tokens or piece.finished:
         body = json.encode(_describe_piece(call, piece))
         events = b'id: %b\ndata: %b\n\n' % (event_id, body)
@@ -66,15 +68,24 @@
             event_id,
             error,
         )
+    if piece.handed_over:
+        moved = json.encode({'resume': f'/v1/requests/{call.request_id}'})
+        return b'%bevent: handed_over\ndata: %b\n\n' % (events, moved)
     if piece.finished or piece.refusal is not None:
         events = b'%bdata: [DONE]\n\n' % events
     return events
 
 
-def describe_answer(answer: Answer) -> dict[str, Any]:
-    """Return the whole answer as one JSON body."""
-    call = answer.call
-    text = ''.join(answer.tokens)
+def make_resume_path(call: Call) -> str:
+    """Return where any entry host gives the whole answer of a request."""
+    return f'/v1/requests/{call.request_id}?whole=true'
+
+
+def describe_answer(
+    call: Call, tokens: list[str], last: Piece
+) -> dict[str, Any]:
+    """Return the whole answer, which ended with a piece, as a JSON body."""
+    text = ''.join(tokens)
     choice: dict[str, Any] = {'index': 0, 'finish_reason': 'stop'}
     if call.chat:
         choice['message'] = {'role': 'assistant', 'content': text}
@@ -86,13 +97,22 @@
         'model': call.route,
         'choices': [choice],
         'usage': {
-            'prompt_tokens': answer.prompt_tokens,
-            'completion_tokens': len(answer.tokens),
-            'prompt_tokens_details': {'cached_tokens': answer.cached_tokens},
+            'prompt_tokens': last.prompt_tokens,
+            'completion_tokens': len(tokens),
+            'prompt_tokens_details': {'cached_tokens': last.cached_tokens},
         },
     }
 
 
+def parse_event_id(event_id: str) -> Position:
+    """Return the position that an event id tells; the start if it is none."""
+    fields = event_id.split(':')
+    offset = fields[1] if len(fields) > 1 else ''
+    if not offset.isdecimal():
+        return Position()
+    return Position(int(offset), fields[2] if len(fields) > 2 else '')
+
+
 def _describe_piece(call: Call, piece: Piece) -> dict[str, Any]:
     text = ''.join(piece.tokens)
     finish = 'stop' if piece.finished else None
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -65,6 +65,14 @@
 CONFIGURATION_NUMBER = Gauge(
     'monsoonwall_configuration_number', 'Number of the one in force.'
 )
+CONFIGURATION_OFFERS = Counter(
+    'monsoonwall_configuration_offers_total',
+    'Configurations offered to this host, by source and what became of them.',
+    ('source', 'verdict'),
+)
+PATCHES = Counter(
+    'monsoonwall_patches_total', 'Patches submitted here.', ('ending',)
+)
 RUNNING_REQUESTS = Gauge(
     'monsoonwall_running_requests', 'Requests accepted and not ended.'
 )
@@ -78,3 +86,46 @@
     'Claims asked for, by verdict.',
     ('verdict',),
 )
+ENTRY_VERDICTS = Counter(
+    'monsoonwall_entry_verdicts_total',
+    'Calls that asked to enter, by service and verdict.',
+    ('service', 'verdict'),
+)
+RETRY_VERDICTS = Counter(
+    'monsoonwall_retry_verdicts_total',
+    'Decisions on failed attempts, by how they ended and the verdict.',
+    ('ending', 'verdict'),
+)
+SUSPECTS = Counter(
+    'monsoonwall_screened_requests_total',
+    'Requests screened for crashes, by judgement.',
+    ('judgement',),
+)
+BACKEND_CRASHES = Counter(
+    'monsoonwall_broken_attempts_total',
+    'Broken attempts looked into, by what the backend server did.',
+    ('finding',),
+)
+LEAVING_SERVERS = Gauge(
+    'monsoonwall_leaving_backend_servers',
+    'Backend servers that get no new work because they are leaving.',
+)
+STREAM_MOVES = Counter(
+    'monsoonwall_stream_moves_total',
+    'Streams moved off leaving backend servers, by how.',
+    ('kind',),
+)
+COPIES = Counter(
+    'monsoonwall_request_copies_total',
+    'Copies of accepted requests on other entry hosts, by how it ended.',
+    ('ending',),
+)
+TAKEOVERS = Counter(
+    'monsoonwall_takeovers_total',
+    'Requests taken over from another entry host, by why.',
+    ('reason',),
+)
+ABANDONED = Counter(
+    'monsoonwall_abandoned_requests_total',
+    'Requests whose generation was paused since no caller followed.',
+)
