--- a/src/monsoonwall/pipeline/dispatch.py
+++ b/src/monsoonwall/pipeline/dispatch.py
@@ -114,6 +114,7 @@
                 answer.refuse(following.failure())
                 return
             progress = following.unwrap()
+            # A version that was taken back gives up its answers too.
             answer.version = progress.version
 
     async def run_plain_call(
