--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -53,7 +53,11 @@
             settings, self._mesh, self._pool, clock
         )
         self._moving = MovingTask(
-            self._mesh.board, self._operating.store, clock, settings.host_name
+            self._mesh.board,
+            self._operating.store,
+            clock,
+            settings.host_name,
+            self._operating.configuring.may_work,
         )
         self._operating.reports.add_reporter(
             'moves', self._moving.describe_moves
--- a/src/monsoonwall/pipeline/dispatch.py
+++ b/src/monsoonwall/pipeline/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
+from typing import Final
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -33,6 +34,7 @@
     VersionChoice,
 )
 
+_SERVER_ERROR: Final = 500
 _VANISHED = AttemptFailure(
     AttemptEnding.unreachable, 'the server left the configuration', False
 )
@@ -250,11 +252,6 @@
             return Failure(_VANISHED)
         started = self._clock.read_monotonic()
         reply = await service.send_call(progress.call)
-        ending = (
-            AttemptEnding.completed
-            if is_successful(reply)
-            else reply.failure().ending
-        )
         self._record(
             AttemptRecord(
                 call=progress.call,
@@ -266,7 +263,7 @@
                 tokens=0,
                 prompt_tokens=0,
                 cached_tokens=0,
-                ending=ending,
+                ending=_find_ending(reply),
             )
         )
         return reply
@@ -307,3 +304,14 @@
 
 def _get_refusal(given_up: _GivenUp) -> Refusal:
     return given_up.refusal
+
+
+def _find_ending(
+    reply: Result[ServiceReply, AttemptFailure],
+) -> AttemptEnding:
+    # The caller gets the server's own error, but it counts as a failure.
+    if not is_successful(reply):
+        return reply.failure().ending
+    if reply.unwrap().status >= _SERVER_ERROR:
+        return AttemptEnding.failed
+    return AttemptEnding.completed
