--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -77,3 +77,13 @@
     'monsoonwall_abandoned_requests_total',
     'Requests whose generation was paused since no caller followed.',
 )
+CLAIM_COMMITS = Counter(
+    'monsoonwall_claim_commits_total',
+    'Writes of claim journals, by how they ended.',
+    ('ending',),
+)
+CLAIMS = Counter(
+    'monsoonwall_claims_total',
+    'Claims asked for, by verdict.',
+    ('verdict',),
+)
