--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -30,6 +30,16 @@
 TOKENS = Counter(
     'monsoonwall_tokens_total', 'Tokens relayed to callers.', ('service',)
 )
+MOVE_SHARE = Gauge(
+    'monsoonwall_move_share',
+    'Part of the requests that a move gives to its new version.',
+    ('move',),
+)
+MOVE_CONCLUSIONS = Counter(
+    'monsoonwall_move_conclusions_total',
+    'Moves that this host saw end, by how.',
+    ('phase',),
+)
 FIRST_TOKEN = Histogram(
     'monsoonwall_first_token_seconds',
     'Time from a request to its first token.',
@@ -55,9 +65,51 @@
 CONFIGURATION_NUMBER = Gauge(
     'monsoonwall_configuration_number', 'Number of the one in force.'
 )
+CONFIGURATION_OFFERS = Counter(
+    'monsoonwall_configuration_offers_total',
+    'Configurations offered to this host, by source and what became of them.',
+    ('source', 'verdict'),
+)
+PATCHES = Counter(
+    'monsoonwall_patches_total', 'Patches submitted here.', ('ending',)
+)
 RUNNING_REQUESTS = Gauge(
     'monsoonwall_running_requests', 'Requests accepted and not ended.'
 )
+CLAIM_COMMITS = Counter(
+    'monsoonwall_claim_commits_total',
+    'Writes of claim journals, by how they ended.',
+    ('ending',),
+)
+CLAIMS = Counter(
+    'monsoonwall_claims_total',
+    'Claims asked for, by verdict.',
+    ('verdict',),
+)
+ENTRY_VERDICTS = Counter(
+    'monsoonwall_entry_verdicts_total',
+    'Calls that asked to enter, by service and verdict.',
+    ('service', 'verdict'),
+)
+RETRY_VERDICTS = Counter(
+    'monsoonwall_retry_verdicts_total',
+    'Decisions on failed attempts, by how they ended and the verdict.',
+    ('ending', 'verdict'),
+)
+SUSPECTS = Counter(
+    'monsoonwall_screened_requests_total',
+    'Requests screened for crashes, by judgement.',
+    ('judgement',),
+)
+BACKEND_CRASHES = Counter(
+    'monsoonwall_broken_attempts_total',
+    'Broken attempts looked into, by what the backend server did.',
+    ('finding',),
+)
+LEAVING_SERVERS = Gauge(
+    'monsoonwall_leaving_backend_servers',
+    'Backend servers that get no new work because they are leaving.',
+)
 STREAM_MOVES = Counter(
     'monsoonwall_stream_moves_total',
     'Streams moved off leaving backend servers, by how.',
@@ -77,13 +129,3 @@
     'monsoonwall_abandoned_requests_total',
     'Requests whose generation was paused since no caller followed.',
 )
-CLAIM_COMMITS = Counter(
-    'monsoonwall_claim_commits_total',
-    'Writes of claim journals, by how they ended.',
-    ('ending',),
-)
-CLAIMS = Counter(
-    'monsoonwall_claims_total',
-    'Claims asked for, by verdict.',
-    ('verdict',),
-)
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from hypothesis import settings
+from loguru import logger
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -56,7 +57,7 @@
     excused = broken & known_red
     skipped = len(outcome.skipped)
     return Tally(
-        passed=outcome.testsRun - len(broken) - skipped,
+        passed=max(0, outcome.testsRun - len(broken) - skipped),
         failed=len(broken - known_red),
         skipped=skipped,
         known_red=tuple(sorted(excused)),
@@ -67,6 +68,8 @@
 def run_tests(names: list[str]) -> int:
     """Run the named tests, or all, and return the exit status."""
     settings.load_profile('repeatable')
+    # Tests look at what the parts do; their logs would bury the verdicts.
+    logger.remove()
     loader = unittest.TestLoader()
     if names:
         suite = loader.loadTestsFromNames(names)
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -141,7 +141,7 @@
             self.ports['platform'],
             'PUT',
             '/objects/configuration/current',
-            document,
+            {'number': 1, **document},
         )
 
     def signal(self, name, number):
@@ -188,7 +188,7 @@
         for service, names in (('assistant', engines), ('ledger', ledgers))
         for index, name in enumerate(names)
     }
-    return {
+    document = {
         'services': {
             'assistant': {
                 'kind': 'model',
@@ -229,6 +229,12 @@
         },
         'backend_servers': servers,
     }
+    if not ledgers:
+        # An active version that no backend server runs is refused.
+        document['services'].pop('ledger')
+        for route in ('stock-lookup', 'stock-reservation'):
+            document['routes'].pop(route)
+    return document
 
 
 def start_small(deployment, engines=3, ledgers=2, entries=3, flags=()):
