Let an answer that lost its servers wait for one, or try a failed one again

A stream that had failed on every server of its version was refused though one of them might be well again, and one whose servers were all taken at once was refused in the same moment. An idempotent call now falls back on servers that failed before, and a call that has lost a server waits up to 20 s; a new call is still refused at once.

--- a/src/monsoonwall/pipeline/dispatch.py
+++ b/src/monsoonwall/pipeline/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
+from typing import Final
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -22,6 +23,7 @@
     AttemptRecord,
     Call,
     Refusal,
+    RefusalReason,
     ServerChoice,
     ServiceReply,
 )
@@ -33,7 +35,11 @@
     VersionChoice,
 )
 
-_VANISHED = AttemptFailure(
+# New servers of a reclaimed zone take longer, but those of other zones come
+# back into the choice within their load reports and limits.
+_PATIENCE_SECONDS: Final = 20.0
+_PATIENCE_STEP_SECONDS: Final = 0.25
+_VANISHED: Final = AttemptFailure(
     AttemptEnding.unreachable, 'the server left the configuration', False
 )
 
@@ -80,10 +86,8 @@
         self, answer: Answer, excluded: frozenset[str]
     ) -> Result[ServerChoice, Refusal]:
         """Return another server of the answer's version to move it to."""
-        progress = _Progress(
-            answer.call, answer.version, False, excluded=excluded
-        )
-        return self._choose(progress)
+        progress = _Progress(answer.call, answer.version, answer.isolated)
+        return self._choose_among(progress, excluded)
 
     async def run_model_call(
         self, answer: Answer, isolated: bool, attempt: int = 1
@@ -98,16 +102,9 @@
             if answer.full:
                 answer.finish()
                 return
-            choice = self._choose(progress)
-            if not is_successful(choice):
-                answer.refuse(choice.failure())
-                return
-            ending = await self._generate(answer, progress, choice.unwrap())
-            if ending is None or ending.kind is InterruptionKind.abandoned:
+            following = await self._make_attempt(answer, progress)
+            if following is None:
                 return
-            following = await self._follow_interruption(
-                progress, choice.unwrap(), ending, len(answer.tokens)
-            )
             if not is_successful(following):
                 answer.refuse(following.failure())
                 return
@@ -162,14 +159,57 @@
         answer.version = answer.version or self.choose_version(answer.call)
         return _Progress(answer.call, answer.version, isolated, attempt)
 
+    async def _make_attempt(
+        self, answer: Answer, progress: _Progress
+    ) -> Result[_Progress, Refusal] | None:
+        """Return how to go on; None if this run of the call is over."""
+        choice = await self._choose_patiently(progress)
+        if answer.handed_over:
+            return None
+        if not is_successful(choice):
+            return Failure(choice.failure())
+        ending = await self._generate(answer, progress, choice.unwrap())
+        if ending is None or ending.kind is InterruptionKind.abandoned:
+            return None
+        return await self._follow_interruption(
+            progress, choice.unwrap(), ending, len(answer.tokens)
+        )
+
+    async def _choose_patiently(
+        self, progress: _Progress
+    ) -> Result[ServerChoice, Refusal]:
+        """Wait a while for a server if the call has lost one.
+
+        A new call is refused at once instead: nothing of it is lost.
+        """
+        patience = _PATIENCE_SECONDS if progress.excluded else 0
+        give_up_at = min(
+            progress.call.deadline, self._clock.read_monotonic() + patience
+        )
+        while True:
+            choice = self._choose(progress)
+            now = self._clock.read_monotonic()
+            if not _lacks_server(choice) or now >= give_up_at:
+                return choice
+            await asyncio.sleep(_PATIENCE_STEP_SECONDS)
+
     def _choose(self, progress: _Progress) -> Result[ServerChoice, Refusal]:
         if progress.target is not None:
             return Success(progress.target)
+        choice = self._choose_among(progress, progress.excluded)
+        if progress.call.idempotent and _lacks_server(choice):
+            # Better one that failed before, and may be well again, than none.
+            choice = self._choose_among(progress, frozenset())
+        return choice
+
+    def _choose_among(
+        self, progress: _Progress, excluded: frozenset[str]
+    ) -> Result[ServerChoice, Refusal]:
         now = self._clock.read_monotonic()
         choice = self._stages.routing.choose_server(
             progress.call,
             progress.version,
-            progress.excluded,
+            excluded,
             progress.isolated,
             now,
         )
@@ -239,7 +279,8 @@
             return Interruption(InterruptionKind.failed, _VANISHED)
         attempt = Attempt(answer, progress.attempt, choice, self._clock)
         ending = await attempt.run(engine, progress.kv_handle)
-        self._record_generation(answer, attempt, ending)
+        now = self._clock.read_monotonic()
+        self._record(_describe_generation(answer, attempt, ending, now))
         return ending
 
     async def _send_once(
@@ -271,26 +312,6 @@
         )
         return reply
 
-    def _record_generation(
-        self, answer: Answer, attempt: Attempt, ending: Interruption | None
-    ) -> None:
-        self._record(
-            AttemptRecord(
-                call=answer.call,
-                attempt=attempt.number,
-                choice=attempt.choice,
-                started=attempt.started,
-                first_token_at=attempt.first_token_at,
-                ended=self._clock.read_monotonic(),
-                tokens=attempt.taken,
-                prompt_tokens=answer.prompt_tokens,
-                cached_tokens=answer.cached_tokens,
-                ending=ending.failure.ending
-                if ending
-                else AttemptEnding.completed,
-            )
-        )
-
     def _record(self, record: AttemptRecord) -> None:
         ATTEMPTS.labels(
             record.call.service, record.choice.version, record.ending
@@ -305,5 +326,28 @@
     last: AttemptFailure
 
 
+def _describe_generation(
+    answer: Answer, attempt: Attempt, ending: Interruption | None, now: float
+) -> AttemptRecord:
+    return AttemptRecord(
+        call=answer.call,
+        attempt=attempt.number,
+        choice=attempt.choice,
+        started=attempt.started,
+        first_token_at=attempt.first_token_at,
+        ended=now,
+        tokens=attempt.taken,
+        prompt_tokens=answer.prompt_tokens,
+        cached_tokens=answer.cached_tokens,
+        ending=ending.failure.ending if ending else AttemptEnding.completed,
+    )
+
+
+def _lacks_server(choice: Result[ServerChoice, Refusal]) -> bool:
+    if is_successful(choice):
+        return False
+    return choice.failure().reason is RefusalReason.no_server
+
+
 def _get_refusal(given_up: _GivenUp) -> Refusal:
     return given_up.refusal
--- a/src/monsoonwall/streams/codec.py
+++ b/src/monsoonwall/streams/codec.py
@@ -71,6 +71,7 @@
         refusal=encode_refusal(answer.refusal),
         prompt_tokens=answer.prompt_tokens,
         cached_tokens=answer.cached_tokens,
+        version=answer.version,
     )
 
 
--- a/src/monsoonwall/streams/holdings.py
+++ b/src/monsoonwall/streams/holdings.py
@@ -61,6 +61,7 @@
             return progress.takeovers < holding.text.takeovers
         progress.ClearField('tokens')
         holding.last = progress
+        holding.copy.version = progress.version
         if progress.finished or progress.HasField('refusal'):
             now = self._clock.read_monotonic()
             holding.expires = now + _KEEP_ENDED_SECONDS
--- /dev/null
+++ b/tests/streams/test_resumption.py
@@ -0,0 +1,214 @@
+"""Resume answers on servers that fail in turn."""
+
+import unittest
+from dataclasses import replace
+from unittest.mock import create_autospec
+
+from returns.result import Failure, Success
+
+from monsoonwall.backends.engine import ModelEngine
+from monsoonwall.backends.pool import BackendPool
+from monsoonwall.clocks import ManualClock, SystemClock
+from monsoonwall.entry.copying import (
+    FORGET_SECONDS,
+    PAUSE_SECONDS,
+    UpkeepTask,
+)
+from monsoonwall.pipeline.answers import (
+    Answer,
+    AnswerTable,
+    InterruptionKind,
+    Position,
+    RunningAttempt,
+)
+from monsoonwall.pipeline.dispatch import Dispatcher, Stages
+from monsoonwall.pipeline.messages import (
+    AttemptEnding,
+    AttemptFailure,
+    Call,
+    Chunk,
+    Effect,
+    Priority,
+    Refusal,
+    RefusalReason,
+    ServerChoice,
+)
+from monsoonwall.pipeline.stages import (
+    Claiming,
+    RetryRule,
+    ServerRouting,
+    VersionChoice,
+)
+from monsoonwall.streams.holdings import Holdings
+from monsoonwall.streams.replication import Replicator
+
+TRUTH = tuple(f't{position} ' for position in range(6))
+CRASH = AttemptFailure(AttemptEnding.crashed, 'gone', True)
+CALL = Call(
+    request_id='own.1',
+    workspace='depot',
+    route='hotline',
+    service='assistant',
+    priority=Priority.interactive,
+    idempotent=True,
+    idempotency_key=None,
+    deadline=0,
+    content_key='',
+    prompt='hi',
+    max_tokens=len(TRUTH),
+)
+SERVERS = ('engine-0', 'engine-1')
+
+
+class FixedRouting(ServerRouting):
+    """Take the first server that is not excluded."""
+
+    def choose_server(self, call, version, excluded, isolated, now):
+        fitting = [name for name in SERVERS if name not in excluded]
+        if fitting:
+            return Success(ServerChoice(fitting[0], 'zone-a', version))
+        return Failure(Refusal(RefusalReason.no_server, Effect.unknown, ''))
+
+    def note_dispatch(self, call, choice, now):
+        """Learn nothing."""
+
+
+class FourAttempts(RetryRule):
+    """Allow four attempts, each at once."""
+
+    def decide_retry(self, call, attempt, failure, now):
+        if attempt < 4:
+            return Success(now)
+        return Failure(Refusal(RefusalReason.retry_budget, Effect.unknown, ''))
+
+
+class ShortEngine:
+    """Give so many tokens in each attempt, then crash."""
+
+    def __init__(self, tokens):
+        self.tokens = tokens
+        self.attempts = []
+
+    async def generate(self, order):
+        self.attempts.append(order.attempt)
+        start = len(order.emitted)
+        for offset in range(start, min(len(TRUTH), start + self.tokens)):
+            # The last chunk's mark is lost with the engine.
+            yield Chunk('own.1', order.attempt, offset, (TRUTH[offset],))
+        yield CRASH
+
+
+class ResumptionTest(unittest.IsolatedAsyncioTestCase):
+    """Run a dispatcher on two engines that give out."""
+
+    async def run_call(self, tokens):
+        self.engine = ShortEngine(tokens)
+        pool = create_autospec(BackendPool, instance=True)
+        adapter = create_autospec(ModelEngine, instance=True)
+        adapter.generate = self.engine.generate
+        pool.find_engine.return_value = adapter
+        versions = create_autospec(VersionChoice, instance=True)
+        versions.choose_version.return_value = 'v1'
+        versions.choose_again.return_value = 'v1'
+        stages = Stages(
+            versions,
+            FixedRouting(),
+            FourAttempts(),
+            create_autospec(Claiming, instance=True),
+            (),
+        )
+        clock = SystemClock()
+        deadline = clock.read_monotonic() + 60
+        answer = Answer(replace(CALL, deadline=deadline))
+        dispatcher = Dispatcher(stages, pool, clock)
+        await dispatcher.run_model_call(answer, False)
+        return answer
+
+    async def test_servers_that_failed_before_are_tried_again(self):
+        answer = await self.run_call(tokens=2)
+        self.assertEqual(tuple(answer.tokens), TRUTH)
+        self.assertEqual(self.engine.attempts, [1, 2, 3])
+
+    async def test_answer_with_all_tokens_is_whole_without_its_last_mark(self):
+        answer = await self.run_call(tokens=len(TRUTH))
+        self.assertTrue(answer.finished)
+
+    async def test_retries_end(self):
+        answer = await self.run_call(tokens=1)
+        self.assertEqual(answer.refusal.reason, RefusalReason.retry_budget)
+
+
+class FollowTest(unittest.IsolatedAsyncioTestCase):
+    """Follow an answer from positions that callers come back with."""
+
+    async def follow(self, answer, seen):
+        return [piece async for piece in answer.follow(seen)]
+
+    def make_answer(self, tokens):
+        answer = Answer(CALL, tokens=tokens)
+        answer.finish()
+        return answer
+
+    async def test_text_that_differs_is_not_continued(self):
+        other = self.make_answer(('x', *TRUTH[1:]))
+        seen = await self.follow(self.make_answer(TRUTH[:3]), Position())
+        pieces = await self.follow(other, Position(3, seen[0].digest))
+        self.assertEqual(
+            [piece.refusal.reason for piece in pieces],
+            [RefusalReason.answer_diverged],
+        )
+
+    async def test_same_text_is_continued(self):
+        seen = await self.follow(self.make_answer(TRUTH[:3]), Position())
+        rest = await self.follow(
+            self.make_answer(TRUTH), Position(3, seen[0].digest)
+        )
+        self.assertEqual(rest[0].tokens, TRUTH[3:])
+
+    async def test_answer_that_ended_before_what_the_caller_saw(self):
+        pieces = await self.follow(
+            self.make_answer(TRUTH[:2]), Position(3, 'any')
+        )
+        self.assertEqual(
+            pieces[0].refusal.reason, RefusalReason.answer_diverged
+        )
+
+
+class UpkeepTest(unittest.IsolatedAsyncioTestCase):
+    """Hang up and come back at set times."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.answers = AnswerTable()
+        self.answer = self.answers.add(Answer(CALL))
+        self.answer.running = create_autospec(RunningAttempt, instance=True)
+        self.upkeep = UpkeepTask(
+            self.answers,
+            Holdings(self.clock),
+            create_autospec(Replicator, instance=True),
+            self.clock,
+        )
+
+    async def pass_time(self, seconds):
+        await self.upkeep.sweep()
+        self.clock.advance(seconds)
+        await self.upkeep.sweep()
+
+    async def test_unread_generation_pauses_then_is_forgotten(self):
+        await self.pass_time(PAUSE_SECONDS - 1)
+        self.answer.running.interrupt.assert_not_called()
+        await self.pass_time(1)
+        interrupt = self.answer.running.interrupt
+        sent = interrupt.call_args.args[0]
+        self.assertIs(sent.kind, InterruptionKind.abandoned)
+        self.answer.running = None
+        await self.pass_time(FORGET_SECONDS)
+        self.assertIsNone(self.answers.find(CALL.request_id))
+
+    async def test_caller_that_comes_back_in_time(self):
+        await self.pass_time(PAUSE_SECONDS - 1)
+        self.answer.readers = 1
+        await self.pass_time(PAUSE_SECONDS)
+        self.answer.readers = 0
+        await self.pass_time(PAUSE_SECONDS - 1)
+        self.answer.running.interrupt.assert_not_called()
