--- /dev/null
+++ b/tests/decisions/test_copies.py
@@ -0,0 +1,139 @@
+"""Check where copies are kept and what text of them stands."""
+
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from monsoonwall.decisions.copies import (
+    HOLDERS_PER_HOST,
+    WATCHERS_PER_ZONE,
+    HeldText,
+    choose_holder,
+    is_watcher,
+    list_others,
+    name_holder,
+    parse_origin,
+)
+from monsoonwall.mesh.peers import Peer
+
+TRUTH = tuple(f't{position}' for position in range(60))
+OWN = Peer('own', 'zone-a', 'north', 'own:1', 1)
+
+
+def make_peers(zones, region='north'):
+    return tuple(
+        Peer(f'host-{index}', f'zone-{zone}', region, f'host-{index}:1', 1)
+        for index, zone in enumerate(zones)
+    )
+
+
+peers = st.lists(
+    st.builds(
+        Peer,
+        st.sampled_from([f'host-{index}' for index in range(9)]),
+        st.sampled_from(['zone-a', 'zone-b', 'zone-c']),
+        st.sampled_from(['north', 'south']),
+        st.just('host:1'),
+        st.just(1),
+        st.booleans(),
+    ),
+    unique_by=lambda peer: peer.name,
+    max_size=9,
+)
+
+
+class HolderTest(unittest.TestCase):
+    """Check the choice of the host that keeps a copy."""
+
+    @given(peers, st.sets(st.sampled_from(['host-0', 'host-1', 'host-2'])))
+    def test_best_live_place(self, known, suspects):
+        chosen = choose_holder('own.1', OWN, known, frozenset(suspects))
+        fitting = {
+            peer.name: peer
+            for peer in known
+            if not peer.leaving and peer.name not in suspects
+        }
+        if not fitting:
+            self.assertIsNone(chosen)
+            return
+        near = [one for one in fitting.values() if one.region == OWN.region]
+        apart = [one for one in near if one.zone != OWN.zone]
+        self.assertIn(fitting[chosen], apart or near or fitting.values())
+
+    def test_few_holders_each_host(self):
+        known = make_peers('bc' * 20)
+        holders = Counter(
+            choose_holder(f'own.{number}', OWN, known, frozenset())
+            for number in range(1000)
+        )
+        self.assertEqual(len(holders), HOLDERS_PER_HOST)
+        self.assertLess(max(holders.values()), 600)
+
+    def test_watchers_of_a_zone(self):
+        hosts = make_peers('a' * 8)
+        watching = [
+            one
+            for one in hosts
+            if is_watcher(one, [peer for peer in hosts if peer != one])
+        ]
+        self.assertEqual(len(watching), WATCHERS_PER_ZONE)
+
+    def test_request_id_names_both_hosts(self):
+        request_id = name_holder('own.abc', 'host-1')
+        origin = parse_origin(request_id)
+        self.assertEqual((origin.accepting, origin.holder), ('own', 'host-1'))
+        others = list_others(request_id, make_peers('bbb'))
+        self.assertEqual(others, ('host-0', 'host-2'))
+
+    def test_request_id_without_holder(self):
+        request_id = name_holder('own.abc', None)
+        origin = parse_origin(request_id)
+        self.assertEqual((origin.accepting, origin.holder), ('own', ''))
+
+
+class HeldTextMachine(RuleBasedStateMachine):
+    """Lose, repeat and reorder progress of an owner and a former one."""
+
+    def __init__(self):
+        super().__init__()
+        self.held = HeldText(takeovers=1)
+        self.emitted = 0
+        self.confirmed = 0
+        self.batches = []
+
+    @rule(tokens=st.integers(1, 4))
+    def emit(self, tokens):
+        self.emitted = min(len(TRUTH), self.emitted + tokens)
+
+    @rule()
+    def send(self):
+        tokens = TRUTH[self.confirmed : self.emitted]
+        self.batches.append((self.confirmed, tokens))
+
+    @rule(choice=st.integers(0, 10_000), answered=st.booleans())
+    def arrive(self, choice, answered):
+        if not self.batches:
+            return
+        offset, tokens = self.batches[choice % len(self.batches)]
+        fitted = self.held.advance(1, offset, tokens)
+        if fitted and answered:
+            self.confirmed = max(self.confirmed, offset + len(tokens))
+
+    @rule(offset=st.integers(0, 60))
+    def hear_former_owner(self, offset):
+        assert not self.held.advance(0, offset, ('other', 'text'))
+
+    @invariant()
+    def text_is_the_owners(self):
+        held = self.held.tokens
+        assert tuple(held) == TRUTH[: len(held)]
+        assert self.confirmed <= len(held) <= self.emitted
+
+
+HeldTextMachine.TestCase.settings = settings(
+    max_examples=100, stateful_step_count=30
+)
+StatefulHeldTextTest = HeldTextMachine.TestCase
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -4,7 +4,8 @@
 tell a whole answer from a damaged one. POST /control sets ``fail`` (status of
 every completion), ``token_seconds``, ``crash_on`` (a prompt holding this text
 ends the process), ``leaving``, ``foreign`` (answer with another id),
-``disturb`` (send each chunk twice, or leave out every fifth) and
+``disturb`` (send each chunk twice, or leave out every fifth),
+``ignore_cancel`` and
 ``kv_token_seconds`` (time of a KV export). GET tells what ran and how many
 tokens were computed again.
 """
@@ -200,7 +201,8 @@
     def post(self):
         order = self.read_json()
         key = (order['request_id'], order['attempt'])
-        self.engine.running.pop(key, None)
+        if not self.engine.control.get('ignore_cancel'):
+            self.engine.running.pop(key, None)
         self.finish(b'{}')
 
 
