--- /dev/null
+++ b/benchmarks/queueing.py
@@ -0,0 +1,348 @@
+"""Run engines and entry hosts as queues in virtual time.
+
+This is a fake behind the decisions, not a cluster: an engine is a priority
+queue before slots, one prompt computed at a time, and a cache of prefixes. A
+host learns of an engine only by late reports and of its peers only by late
+messages. All times are virtual seconds.
+"""
+
+import heapq
+from abc import ABC, abstractmethod
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from itertools import count
+from random import Random
+
+from monsoonwall.decisions.cache import (
+    BLOCK_WORDS,
+    ChangeBatch,
+    PrefixChange,
+    is_sampled,
+)
+from monsoonwall.decisions.load import Report
+from monsoonwall.pipeline.messages import (
+    AttemptEnding,
+    AttemptRecord,
+    Call,
+    Priority,
+    ServerChoice,
+)
+
+POLL_SECONDS = 0.5
+REPORT_LAG_SECONDS = 0.5
+PEER_LAG_SECONDS = 0.2
+EVENT_LOSS = 0.03
+TOKEN_SECONDS = 0.02
+BATCH_TOKEN_SECONDS = 0.0008
+CHUNK_WORDS = 1024
+
+
+@dataclass(frozen=True)
+class EngineSpec:
+    """Describe one engine."""
+
+    name: str
+    zone: str
+    price_per_hour: float
+    capacity: int = 16
+    prefill_rate: float = 6000
+    cache_blocks: int = 3000
+
+
+@dataclass
+class Job:
+    """Follow one call through the queues."""
+
+    call: Call
+    keys: tuple
+    words: int
+    arrived: float
+    host: int
+    server: str = ''
+    cached: int = 0
+    first_token: float = 0
+    ended: float = 0
+
+
+class Timeline:
+    """Run callbacks in the order of their virtual times."""
+
+    def __init__(self) -> None:
+        self.now: float = 0
+        self._events: list = []
+        self._numbers = count()
+
+    def add(self, at: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at, next(self._numbers), action))
+
+    def run(self, until: float) -> None:
+        while self._events and self._events[0][0] <= until:
+            at, _, action = heapq.heappop(self._events)
+            self.now = at
+            action()
+
+
+class FakeEngine:
+    """Queue, compute prompts one by one, then decode in parallel."""
+
+    def __init__(
+        self,
+        spec: EngineSpec,
+        timeline: Timeline,
+        finish: Callable[[Job], None],
+    ) -> None:
+        self.spec = spec
+        self.running = 0
+        self.busy_seconds: float = 0
+        self.uncached = 0
+        self._timeline = timeline
+        self._finish = finish
+        self._waiting: list = []
+        self._numbers = count()
+        self._prompts: list = []
+        self._computing = False
+        self._cache: OrderedDict = OrderedDict()
+        self.changes: list[PrefixChange] = []
+        self._published = 0
+
+    def submit(self, job: Job) -> None:
+        order = (int(job.call.priority), next(self._numbers), job)
+        heapq.heappush(self._waiting, order)
+        self._start_next()
+
+    def make_report(self) -> Report:
+        in_flight = self.running + len(self._waiting)
+        return Report(in_flight, self.spec.capacity, self._timeline.now)
+
+    def take_batch(self) -> ChangeBatch:
+        after = self._published
+        self._published = len(self.changes)
+        return ChangeBatch(
+            after,
+            self._published,
+            0,
+            tuple(
+                change
+                for change in self.changes[after:]
+                if is_sampled(change.prefix_key)
+            ),
+        )
+
+    def _start_next(self) -> None:
+        if not self._waiting or self.running >= self.spec.capacity:
+            return
+        job = heapq.heappop(self._waiting)[2]
+        self.running += 1
+        job.cached = self._look_up(job.keys)
+        left = job.words - job.cached
+        self.uncached += left
+        self.busy_seconds += left / self.spec.prefill_rate
+        order = (int(job.call.priority), next(self._numbers))
+        heapq.heappush(self._prompts, (*order, left, job))
+        if not self._computing:
+            self._compute_chunk()
+
+    def _compute_chunk(self) -> None:
+        self._computing = bool(self._prompts)
+        if not self._computing:
+            return
+        priority, number, left, job = heapq.heappop(self._prompts)
+        chunk = min(left, CHUNK_WORDS)
+        rest = (priority, number, left - chunk, job)
+        self._timeline.add(
+            self._timeline.now + chunk / self.spec.prefill_rate,
+            partial(self._end_chunk, rest),
+        )
+
+    def _end_chunk(self, rest: tuple) -> None:
+        if rest[2] > 0:
+            heapq.heappush(self._prompts, rest)
+        else:
+            self._decode(rest[3])
+        self._compute_chunk()
+
+    def _decode(self, job: Job) -> None:
+        job.first_token = self._timeline.now
+        token_seconds = TOKEN_SECONDS + BATCH_TOKEN_SECONDS * self.running
+        decoding = job.call.max_tokens * token_seconds
+        self.busy_seconds += decoding / self.spec.capacity
+        job.ended = job.first_token + decoding
+        self._timeline.add(job.ended, partial(self._end, job))
+
+    def _end(self, job: Job) -> None:
+        self.running -= 1
+        self._finish(job)
+        self._start_next()
+
+    def _look_up(self, keys: tuple) -> int:
+        cached = 0
+        for key in keys:
+            if key not in self._cache:
+                break
+            cached += BLOCK_WORDS
+        # Engines evict the ends of prompts before their beginnings.
+        for key in reversed(keys):
+            if key not in self._cache:
+                self._note(key, stored=True)
+            self._cache[key] = None
+            self._cache.move_to_end(key)
+        while len(self._cache) > self.spec.cache_blocks:
+            oldest, _ = self._cache.popitem(last=False)
+            self._note(oldest, stored=False)
+        return cached
+
+    def _note(self, key: str, *, stored: bool) -> None:
+        self.changes.append(PrefixChange(stored, key))
+
+
+class HostPolicy(ABC):
+    """Decide for one entry host from what reaches it."""
+
+    @abstractmethod
+    def choose(self, job: Job, now: float) -> str | None:
+        """Return a server, or None for a refusal."""
+
+    def note_end(self, record: AttemptRecord) -> None:
+        """Learn from an attempt that ended."""
+        self._ignore(record)
+
+    def take_report(self, server: str, report: Report) -> None:
+        """Take a late report of a server."""
+        self._ignore(server, report)
+
+    def take_batch(self, server: str, batch: ChangeBatch) -> None:
+        """Take cache events."""
+        self._ignore(server, batch)
+
+    def publish(self, now: float) -> object:
+        """Return what peers are told."""
+        return self._ignore(now)
+
+    def take_peer(self, origin: str, message: object, at: float) -> None:
+        """Take what a peer published at a time."""
+        self._ignore(origin, message, at)
+
+    def _ignore(self, *messages: object) -> object:
+        return messages
+
+
+@dataclass
+class Outcome:
+    """Hold what one run measured."""
+
+    jobs: list = field(default_factory=list)
+    refused: int = 0
+    uncached: int = 0
+    prompt_words: int = 0
+    cost: float = 0
+    busy: float = 0
+
+
+class Cluster:
+    """Connect engines and hosts, and run arrivals through them."""
+
+    def __init__(self, specs, policies, seed: int) -> None:
+        self.timeline = Timeline()
+        self.outcome = Outcome()
+        self._policies = policies
+        self._left = 0
+        self._random = Random(seed)
+        self._engines = {
+            spec.name: FakeEngine(spec, self.timeline, self._finish)
+            for spec in specs
+        }
+
+    def run(self, jobs, until: float) -> Outcome:
+        self._left = len(jobs)
+        for job in jobs:
+            self.timeline.add(job.arrived, partial(self._arrive, job))
+        self._schedule_round(POLL_SECONDS)
+        self.timeline.run(until)
+        for engine in self._engines.values():
+            self.outcome.uncached += engine.uncached
+            price = engine.spec.price_per_hour / 3600
+            self.outcome.cost += engine.busy_seconds * price
+            self.outcome.busy += engine.busy_seconds
+        return self.outcome
+
+    def _arrive(self, job: Job) -> None:
+        policy = self._policies[job.host]
+        server = policy.choose(job, self.timeline.now)
+        if server is None:
+            self.outcome.refused += 1
+            self._left -= 1
+            return
+        job.server = server
+        self._engines[server].submit(job)
+
+    def _finish(self, job: Job) -> None:
+        self._left -= 1
+        self.outcome.jobs.append(job)
+        self.outcome.prompt_words += job.words
+        spec = self._engines[job.server].spec
+        self._policies[job.host].note_end(
+            AttemptRecord(
+                job.call,
+                1,
+                ServerChoice(job.server, spec.zone, 'v1'),
+                job.arrived,
+                job.first_token,
+                job.ended,
+                job.call.max_tokens,
+                job.words,
+                job.cached,
+                AttemptEnding.completed,
+            )
+        )
+
+    def _schedule_round(self, at: float) -> None:
+        self.timeline.add(at, self._run_round)
+
+    def _run_round(self) -> None:
+        now = self.timeline.now
+        for name, engine in self._engines.items():
+            self._send_report(name, engine, now)
+        for origin, policy in enumerate(self._policies):
+            message = policy.publish(now)
+            self.timeline.add(
+                now + PEER_LAG_SECONDS,
+                partial(self._spread, origin, message, now),
+            )
+        if self._left:
+            self._schedule_round(now + POLL_SECONDS)
+
+    def _send_report(self, name: str, engine: FakeEngine, now: float) -> None:
+        report = engine.make_report()
+        batch = engine.take_batch()
+        lost = self._random.random() < EVENT_LOSS
+        self.timeline.add(
+            now + REPORT_LAG_SECONDS,
+            partial(self._deliver, name, report, None if lost else batch),
+        )
+
+    def _deliver(
+        self, name: str, report: Report, batch: ChangeBatch | None
+    ) -> None:
+        for policy in self._policies:
+            policy.take_report(name, report)
+            if batch is not None:
+                policy.take_batch(name, batch)
+
+    def _spread(self, origin: int, message: object, at: float) -> None:
+        for number, policy in enumerate(self._policies):
+            if number != origin:
+                policy.take_peer(f'host-{origin}', message, at)
+
+
+def measure_quantile(values, quantile: float) -> float:
+    """Return a quantile, 0 when there are no values."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0
+    return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
+
+
+def is_short(job: Job) -> bool:
+    return job.call.priority is Priority.interactive
--- a/src/monsoonwall/decisions/admission.py
+++ b/src/monsoonwall/decisions/admission.py
@@ -17,12 +17,11 @@
 from monsoonwall.decisions.fairness import divide_fairly
 
 _BURST_SECONDS: Final = 1.0
-_QUEUE_RATIO: Final = 1.25
-_BATCH_RATIO: Final = 0.9
-_FAIR_RATIO: Final = 0.6
+_QUEUE_RATIO: Final = 1.5
+_BATCH_RATIO: Final = 0.85
+_FAIR_RATIO: Final = 0.7
 _MIN_SLOTS: Final = 2
 _DEMAND_SECONDS: Final = 5.0
-_DEMAND_HEADROOM: Final = 1.5
 _MIN_RETRY_SECONDS: Final = 0.5
 _MAX_RETRY_SECONDS: Final = 15.0
 
@@ -39,13 +38,15 @@
 class ServiceSlots:
     """Describe what this host holds of a service.
 
-    ``capacity`` counts the calls that all live servers run at a time and
-    ``part`` is this host's part of it. By workspace: the calls ``held``, how
-    many it would hold if none were refused (``wanted``), and its weight.
+    ``capacity`` counts the calls that all live servers run at a time,
+    ``part`` is this host's part of it, and ``batch`` how many of the calls
+    held are not urgent. By workspace: the calls ``held``, how many it would
+    hold if none were refused (``wanted``), and its weight.
     """
 
     capacity: float
     part: float
+    batch: int
     held: Mapping[str, int]
     wanted: Mapping[str, float]
     weights: Mapping[str, float]
@@ -106,21 +107,16 @@
     slots: ServiceSlots, workspace: str, urgent: bool
 ) -> EntryVerdict:
     """Return whether one more call of a workspace may enter."""
-    limit = max(_MIN_SLOTS, slots.capacity * _QUEUE_RATIO * slots.part)
+    slots_here = slots.capacity * slots.part
+    limit = max(_MIN_SLOTS, slots_here * _QUEUE_RATIO)
     held = sum(slots.held.values())
-    # What is kept free of batch work lets short questions in at once.
-    bound = limit if urgent else limit * _BATCH_RATIO
-    if held + 1 > bound:
+    # Slots that batch work never takes let short questions in at once.
+    batch_limit = max(1, slots_here * _BATCH_RATIO)
+    if held + 1 > limit or (not urgent and slots.batch + 1 > batch_limit):
         return EntryVerdict.full
-    if held + 1 <= limit * _FAIR_RATIO:
-        return EntryVerdict.admitted
-    parts = divide_fairly(
-        bound,
-        {name: _pad_demand(calls) for name, calls in slots.wanted.items()},
-        slots.weights,
-    )
-    mine = slots.held.get(workspace, 0) + 1
-    if mine > max(1, parts.get(workspace, 1)):
+    if held + 1 > limit * _FAIR_RATIO and _exceeds_share(
+        slots, workspace, limit
+    ):
         return EntryVerdict.over_share
     return EntryVerdict.admitted
 
@@ -135,9 +131,11 @@
     return bounded * (1 + spread)
 
 
-def _pad_demand(calls: float) -> float:
-    # Measured demand is noisy; what is within it must not be refused.
-    return _DEMAND_HEADROOM * calls + 1
+def _exceeds_share(slots: ServiceSlots, workspace: str, limit: float) -> bool:
+    if sum(slots.wanted.values()) <= limit:
+        return False
+    parts = divide_fairly(limit, slots.wanted, slots.weights)
+    return slots.held.get(workspace, 0) + 1 > max(1, parts.get(workspace, 1))
 
 
 def _measure_burst(rate: float) -> float:
--- a/src/monsoonwall/decisions/cache.py
+++ b/src/monsoonwall/decisions/cache.py
@@ -4,6 +4,9 @@
 with gaps; the own dispatches, since an engine caches what it computes; and
 the cached-token count that each answer carries. The last one is the only
 proof, so it also settles how far the other two are trusted.
+
+Views follow one key in eight, the same ones on every host. That is enough to
+tell a long prefix from a short one, and keeps memory and messages small.
 """
 
 from collections import OrderedDict
@@ -13,10 +16,12 @@
 from typing import Final
 
 BLOCK_WORDS: Final = 16
+_SAMPLING: Final = 8
+_HEXADECIMAL: Final = 16
 _KEY_LENGTH: Final = 16
-_GAP_TRUST: Final = 0.5
 _MIN_TRUST: Final = 0.3
-_TRUST_GAIN: Final = 0.1
+_MAX_GAP_LOSS: Final = 0.5
+_TRUST_GAIN: Final = 0.3
 _MAX_KEYS: Final = 40_000
 _MIN_KEYS_PER_SERVER: Final = 64
 
@@ -25,11 +30,23 @@
 class PrefixChange:
     """Report that a prefix entered or left a server's cache."""
 
-    number: int
     stored: bool
     prefix_key: str
 
 
+@dataclass(frozen=True)
+class ChangeBatch:
+    """Hold the followed keys among the events ``after`` to ``last``.
+
+    ``lost`` counts the events in between that never came.
+    """
+
+    after: int
+    last: int
+    lost: int
+    changes: tuple[PrefixChange, ...] = ()
+
+
 def make_prefix_keys(prompt: str) -> tuple[str, ...]:
     """Return a key for each prefix of whole blocks, shortest first."""
     words = prompt.split()
@@ -43,6 +60,11 @@
     return tuple(keys)
 
 
+def is_sampled(prefix_key: str) -> bool:
+    """Tell whether views follow a key, by its last hexadecimal digit."""
+    return int(prefix_key[-1], base=_HEXADECIMAL) % _SAMPLING == 0
+
+
 class CacheView:
     """Hold what is believed of one server's cache."""
 
@@ -57,14 +79,13 @@
         """Return the number of the last event taken."""
         return self._number
 
-    def take_changes(self, changes: Iterable[PrefixChange]) -> None:
-        """Apply events in order; a gap lowers the trust in all keys."""
-        for change in changes:
-            if change.number <= self._number:
-                continue
-            if self._number and change.number > self._number + 1:
-                self.trust = max(_MIN_TRUST, self.trust * _GAP_TRUST)
-            self._number = change.number
+    def take_batch(self, batch: ChangeBatch) -> None:
+        """Apply events in order; lost ones lower the trust in all keys."""
+        if batch.last <= self._number:
+            return
+        self._note_gap(max(0, batch.after - self._number) + batch.lost)
+        self._number = batch.last
+        for change in batch.changes:
             if change.stored:
                 self._remember((change.prefix_key,))
             else:
@@ -81,6 +102,7 @@
         if guessed_tokens > 0:
             hit = min(1, cached_tokens / guessed_tokens)
             self.trust += _TRUST_GAIN * (hit - self.trust)
+            self.trust = max(_MIN_TRUST, self.trust)
         self._remember(keys)
 
     def forget(self) -> None:
@@ -92,20 +114,32 @@
     def count_known(self, keys: Sequence[str]) -> int:
         """Return the words in the longest prefix believed cached."""
         blocks = 0
-        for key in keys:
+        for depth, key in enumerate(keys, start=1):
+            if not is_sampled(key):
+                continue
             if key not in self._known:
                 break
-            blocks += 1
+            blocks = depth
         return blocks * BLOCK_WORDS
 
     def estimate_cached(self, keys: Sequence[str]) -> float:
         """Return the words expected to be cached, weighed by trust."""
         return self.count_known(keys) * self.trust
 
-    def _remember(self, keys: Iterable[str]) -> None:
-        for key in keys:
-            self._known[key] = None
-            self._known.move_to_end(key)
+    def _note_gap(self, lost: int) -> None:
+        # Events are lost before the first one too, but nothing was known.
+        if lost and self._known:
+            followed = lost / _SAMPLING
+            doubtful = followed / (followed + len(self._known))
+            self.trust *= 1 - min(_MAX_GAP_LOSS, doubtful)
+            self.trust = max(_MIN_TRUST, self.trust)
+
+    def _remember(self, keys: Sequence[str]) -> None:
+        # The ends of prompts are forgotten first: beginnings serve more.
+        for key in reversed(keys):
+            if is_sampled(key):
+                self._known[key] = None
+                self._known.move_to_end(key)
         while len(self._known) > self._max_keys:
             self._known.popitem(last=False)
 
--- a/src/monsoonwall/decisions/load.py
+++ b/src/monsoonwall/decisions/load.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from math import inf
 from typing import Final
 
 UNREPORTED_CAPACITY: Final = 64
@@ -20,7 +21,7 @@
 _REPORT_SECONDS: Final = 15.0
 _START_PREFILL_RATE: Final = 8000.0
 _MIN_PREFILL_RATE: Final = 200.0
-_RATE_DECAY: Final = 0.99
+_RATE_DECAY: Final = 0.97
 _MIN_RATE_TOKENS: Final = 64
 _START_HOLD_SECONDS: Final = 2.0
 _HOLD_GAIN: Final = 0.05
@@ -30,13 +31,15 @@
 class ServerCounts:
     """Count one host's work at one server.
 
-    ``prompt_tokens`` grows with each dispatch; the others go up and down.
+    ``prompt_tokens`` and ``urgent_tokens`` grow with each dispatch; the
+    others go up and down.
     """
 
     running: int = 0
     urgent: int = 0
     isolated: int = 0
     prompt_tokens: int = 0
+    urgent_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -61,8 +64,9 @@
 class ServerLoad:
     """Estimate a server's load now.
 
-    ``backlog_tokens`` are prompt tokens not computed yet, ``prefill_rate``
-    is tokens a second, ``hold_seconds`` how long an attempt keeps its slot.
+    ``backlog_tokens`` are prompt tokens not computed yet, ``urgent_tokens``
+    those of urgent requests among them; ``prefill_rate`` is tokens a second,
+    ``hold_seconds`` how long an attempt keeps its slot.
     """
 
     in_flight: int = 0
@@ -70,16 +74,21 @@
     isolated: int = 0
     capacity: int = UNREPORTED_CAPACITY
     backlog_tokens: float = 0
+    urgent_tokens: float = 0
     prefill_rate: float = _START_PREFILL_RATE
     hold_seconds: float = _START_HOLD_SECONDS
     report_age: float = 0
 
 
 class CountHistory:
-    """Remember counts for as long as a report can be late."""
+    """Remember counts for as long as a report can be late.
 
-    def __init__(self) -> None:
-        self._points: deque[tuple[float, ServerCounts]] = deque()
+    Before its first point a history of one's own work counted nothing; what
+    a peer counted before its first message is not known.
+    """
+
+    def __init__(self, *points: tuple[float, ServerCounts]) -> None:
+        self._points = deque(points)
 
     @property
     def latest(self) -> ServerCounts:
@@ -98,7 +107,7 @@
 
     def count_change(self, since: float) -> int:
         """Return how many more are running than at a time."""
-        earlier = 0
+        earlier = self._points[0][1].running if self._points else 0
         for at, counts in reversed(self._points):
             if at <= since:
                 earlier = counts.running
@@ -106,15 +115,32 @@
         return self.latest.running - earlier
 
 
+class Backlog:
+    """Store tokens that drain at a rate."""
+
+    def __init__(self) -> None:
+        self._tokens: float = 0
+        self._at: float = 0
+
+    def add(self, tokens: float, now: float, rate: float) -> None:
+        """Add tokens at a time."""
+        self._tokens = self.drain(now, rate) + tokens
+        self._at = max(now, self._at)
+
+    def drain(self, now: float, rate: float) -> float:
+        """Return the tokens left."""
+        return max(0, self._tokens - rate * max(0, now - self._at))
+
+
 class ServerTrack:
     """Follow one server's load."""
 
     def __init__(self) -> None:
-        self.own = CountHistory()
+        self.own = CountHistory((-inf, ServerCounts()))
         self._peers: dict[str, tuple[float, CountHistory]] = {}
         self._report: Report | None = None
-        self._backlog: float = 0
-        self._backlog_at: float = 0
+        self._backlog = Backlog()
+        self._urgent_backlog = Backlog()
         self._prefill_rate = _START_PREFILL_RATE
         self._hold_seconds = _START_HOLD_SECONDS
 
@@ -128,9 +154,10 @@
                 counts.urgent + work.urgent,
                 counts.isolated + work.isolated,
                 counts.prompt_tokens + work.prompt_tokens,
+                counts.urgent_tokens + work.urgent * work.prompt_tokens,
             ),
         )
-        self._add_backlog(work.prompt_tokens, now)
+        self._add_backlog(counts, self.own.latest, now)
 
     def note_end(self, work: Work, now: float) -> None:
         """Count the end of such an attempt."""
@@ -142,6 +169,7 @@
                 max(0, counts.urgent - work.urgent),
                 max(0, counts.isolated - work.isolated),
                 counts.prompt_tokens,
+                counts.urgent_tokens,
             ),
         )
 
@@ -159,8 +187,7 @@
             return
         else:
             history = known[1]
-            fresh = counts.prompt_tokens - history.latest.prompt_tokens
-            self._add_backlog(max(0, fresh), at)
+            self._add_backlog(history.latest, counts, at)
         history.append(at, counts)
         self._peers[origin] = (at, history)
 
@@ -193,7 +220,8 @@
             sum(history.latest.urgent for history in known),
             sum(history.latest.isolated for history in known),
             max(1, report.capacity),
-            self._drain_backlog(now),
+            self._backlog.drain(now, self._prefill_rate),
+            self._urgent_backlog.drain(now, self._prefill_rate),
             self._prefill_rate,
             self._hold_seconds,
             now - report.measured,
@@ -213,13 +241,14 @@
             report.measured,
         )
 
-    def _add_backlog(self, tokens: float, now: float) -> None:
-        self._backlog = self._drain_backlog(now) + tokens
-        self._backlog_at = max(now, self._backlog_at)
-
-    def _drain_backlog(self, now: float) -> float:
-        drained = self._prefill_rate * max(0, now - self._backlog_at)
-        return max(0, self._backlog - drained)
+    def _add_backlog(
+        self, before: ServerCounts, after: ServerCounts, now: float
+    ) -> None:
+        # A peer that started anew counts from zero again.
+        fresh = max(0, after.prompt_tokens - before.prompt_tokens)
+        urgent = max(0, after.urgent_tokens - before.urgent_tokens)
+        self._backlog.add(fresh, now, self._prefill_rate)
+        self._urgent_backlog.add(urgent, now, self._prefill_rate)
 
 
 class LoadBook:
--- a/src/monsoonwall/decisions/polling.py
+++ b/src/monsoonwall/decisions/polling.py
@@ -11,18 +11,17 @@
 _RECEIVED_BYTES_PER_SECOND: Final = 8000
 
 
-def choose_pollers(server: str, hosts: Iterable[str]) -> list[str]:
-    """Return the hosts that poll a server.
+def rank_poller(server: str, host: str, hosts: Iterable[str]) -> int | None:
+    """Return the rank of a host among those that poll a server, or None.
 
     Hosts that know the same others agree without talking; when one goes,
     only its servers change hands.
     """
     ranked = sorted(
-        hosts,
-        key=lambda host: hash_text(f'{server}/{host}'),
-        reverse=True,
+        hosts, key=lambda name: hash_text(f'{server}/{name}'), reverse=True
     )
-    return ranked[:_POLLERS]
+    pollers = ranked[:_POLLERS]
+    return pollers.index(host) if host in pollers else None
 
 
 def stretch_period(message_bytes: int, hosts: int) -> float:
--- a/src/monsoonwall/decisions/routing.py
+++ b/src/monsoonwall/decisions/routing.py
@@ -15,7 +15,10 @@
 from monsoonwall.decisions.load import ServerLoad
 
 _SHORTLIST_SIZE: Final = 24
-_NEIGHBOURS: Final = 8
+_NEIGHBOURS: Final = 3
+_AFFINITY_DEPTHS: Final = (1, 8, 64)
+# Engines compute long prompts in chunks, between which urgent ones come.
+_CHUNK_TOKENS: Final = 1024
 _MIN_TIE_SECONDS: Final = 0.01
 _TIE_PER_REPORT_SECOND: Final = 0.02
 _MAX_TIE_SECONDS: Final = 0.08
@@ -26,14 +29,18 @@
 class Weights:
     """State what a second of each kind is worth.
 
-    ``late`` multiplies the wait past the route's target, ``recompute`` the
-    engine time of the prompt, ``far_seconds`` is added in another zone.
+    ``early`` multiplies the wait up to the route's target, ``late`` what is
+    past it. ``recompute`` multiplies the engine time of the prompt, which
+    delays others and evicts what they have cached; ``price`` multiplies the
+    engine time by the server's price. ``far_seconds`` is added in another
+    zone.
     """
 
-    late: float = 3.0
-    recompute: float = 0.4
-    price: float = 0.2
-    far_seconds: float = 0.05
+    early: float = 0.5
+    late: float = 1.5
+    recompute: float = 2.0
+    price: float = 0.1
+    far_seconds: float = 0.02
 
 
 @dataclass(frozen=True)
@@ -67,25 +74,29 @@
         # Engines serve urgent requests first, so others do not delay it.
         over = min(over, load.urgent + 1)
     queued = over * load.hold_seconds / load.capacity
-    return queued + load.backlog_tokens / load.prefill_rate
+    tokens = load.backlog_tokens
+    if need.urgent:
+        tokens = min(tokens, load.urgent_tokens + _CHUNK_TOKENS)
+    return queued + tokens / load.prefill_rate
 
 
 def weigh_candidate(
     candidate: Candidate, need: Need, weights: Weights
 ) -> float:
     """Return the cost of a candidate in seconds; less is better."""
-    uncached = max(0, need.prompt_tokens - candidate.cached_tokens)
-    computing = uncached / candidate.load.prefill_rate
+    load = candidate.load
+    computing = _measure_computing(candidate, need)
     wait = estimate_wait(candidate, need) + computing
     late = max(0, wait - need.target_seconds)
-    engine_seconds = computing + candidate.load.hold_seconds * weights.price
+    engine_seconds = computing + load.hold_seconds / load.capacity
     far = 0 if candidate.zone == need.zone else weights.far_seconds
     return (
-        min(wait, need.target_seconds)
+        weights.early * min(wait, need.target_seconds)
         + weights.late * late
-        + weights.recompute * engine_seconds * candidate.price_per_hour
+        + weights.recompute * computing
+        + weights.price * engine_seconds * candidate.price_per_hour
         + far
-        + _ISOLATED_SECONDS * bool(candidate.load.isolated)
+        + _ISOLATED_SECONDS * bool(load.isolated)
     )
 
 
@@ -94,22 +105,15 @@
 ) -> Candidate:
     """Return the cheaper of two near-equal candidates.
 
-    The two are drawn by hash: one by the prompt's first block, which brings
-    equal prompts together before any cache is known, one by the request.
+    The two are drawn by the request's hash, so that hosts with the same late
+    view do not all take the same one.
     """
     costs = [weigh_candidate(one, need, weights) for one in candidates]
-    least = min(costs)
-    bound = least + _measure_tie(candidates, least)
-    near = [
-        (cost, one)
-        for cost, one in zip(costs, candidates, strict=True)
-        if cost <= bound
-    ]
-    first = max(
-        near, key=lambda pair: _hash_pair(need.affinity, pair[1].server)
-    )
-    second = near[need.seed % len(near)]
-    return min(first, second, key=lambda pair: pair[0])[1]
+    bound = min(costs) + _measure_tie(candidates, min(costs))
+    near = [(cost, place) for place, cost in enumerate(costs) if cost <= bound]
+    first = near[need.seed % len(near)]
+    second = near[need.seed // len(near) % len(near)]
+    return candidates[min(first, second)[1]]
 
 
 def choose_isolated(candidates: Sequence[Candidate], need: Need) -> Candidate:
@@ -125,9 +129,9 @@
 
 
 def shorten_list(
-    servers: Sequence[str], seed: int, affinity: str
+    servers: Sequence[str], seed: int, affinities: Sequence[str]
 ) -> Sequence[str]:
-    """Return a few servers of many: neighbours by affinity, and drawn ones.
+    """Return a few servers of many: the same for equal prefixes, and drawn.
 
     Weighing hundreds of servers for each request would take more processor
     time than routing may have.
@@ -135,16 +139,30 @@
     total = len(servers)
     if total <= _SHORTLIST_SIZE:
         return servers
-    begin = hash_text(affinity)
-    places = {(begin + step) % total for step in range(_NEIGHBOURS)}
+    places = {
+        (hash_text(affinity) + step) % total
+        for affinity in affinities
+        for step in range(_NEIGHBOURS)
+    }
     stride = 1 + seed % (total - 1)
     drawn = (
         (seed + step * stride) % total
-        for step in range(_SHORTLIST_SIZE - _NEIGHBOURS)
+        for step in range(_SHORTLIST_SIZE - len(places))
     )
     return [servers[place] for place in sorted(places.union(drawn))]
 
 
+def choose_affinities(keys: Sequence[str], fallback: str) -> list[str]:
+    """Return the prefix keys by which equal prompts find each other."""
+    depths = [depth for depth in _AFFINITY_DEPTHS if depth <= len(keys)]
+    return [keys[depth - 1] for depth in depths] or [fallback]
+
+
+def _measure_computing(candidate: Candidate, need: Need) -> float:
+    uncached = max(0, need.prompt_tokens - candidate.cached_tokens)
+    return uncached / candidate.load.prefill_rate
+
+
 def _measure_tie(candidates: Sequence[Candidate], least: float) -> float:
     oldest = max(one.load.report_age for one in candidates)
     return min(
--- a/src/monsoonwall/decisions/suspects.py
+++ b/src/monsoonwall/decisions/suspects.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf
 from typing import Final
 
 SUSPICION_SECONDS: Final = 600.0
@@ -69,10 +70,9 @@
     isolated = findings.isolated_crashes.get(content_key)
     if isolated is not None and _convicts(findings, isolated, now_wall):
         return Suspicion.convicted
-    crashed_wall = max(
-        _read_time(findings.crashes.get(content_key)),
-        _read_time(isolated),
-    )
+    crash = findings.crashes.get(content_key)
+    crashed = [one for one in (crash, isolated) if one is not None]
+    crashed_wall = max((one.crashed_wall for one in crashed), default=-inf)
     if crashed_wall + SUSPICION_SECONDS <= now_wall:
         return Suspicion.none
     cleared = findings.clears.get(content_key)
@@ -95,14 +95,12 @@
 def _convicts(findings: Findings, record: CrashRecord, now_wall: float) -> bool:
     if record.crashed_wall + CONVICTION_SECONDS <= now_wall:
         return False
-    same_crash = [
+    together = [
         other
         for other in findings.isolated_crashes.values()
-        if other.server == record.server
-        and abs(other.crashed_wall - record.crashed_wall) <= _SAME_CRASH_SECONDS
+        if abs(other.crashed_wall - record.crashed_wall) <= _SAME_CRASH_SECONDS
     ]
-    return find_last_started(same_crash) == record
-
-
-def _read_time(record: CrashRecord | None) -> float:
-    return 0 if record is None else record.crashed_wall
+    if len({other.server for other in together}) >= _WAVE_SERVERS:
+        return False
+    same_server = [one for one in together if one.server == record.server]
+    return find_last_started(same_server) == record
--- a/src/monsoonwall/entry/loads.py
+++ b/src/monsoonwall/entry/loads.py
@@ -1,7 +1,8 @@
 """Poll engines, and exchange loads and demand with the other hosts.
 
-Each engine is polled by two entry hosts of its zone. What a host learned,
-what it dispatched and what it was asked for go out as one entry of the board.
+Each engine is polled by two entry hosts of its zone, so that one may fail, and
+the first of them publishes what it learned. That, what the host dispatched
+and what it was asked for go out as one entry of the board.
 """
 
 import asyncio
@@ -11,12 +12,12 @@
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 from returns.pipeline import is_successful
 
-from monsoonwall.backends.engine import LoadReport, ModelEngine
+from monsoonwall.backends.engine import ModelEngine
 from monsoonwall.backends.pool import BackendPool
 from monsoonwall.clocks import Clock
-from monsoonwall.decisions.cache import PrefixChange
+from monsoonwall.decisions.cache import ChangeBatch, PrefixChange, is_sampled
 from monsoonwall.decisions.load import Report, ServerCounts
-from monsoonwall.decisions.polling import choose_pollers, stretch_period
+from monsoonwall.decisions.polling import rank_poller, stretch_period
 from monsoonwall.entry.liveness import LivenessTask
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board, Entry
@@ -28,7 +29,6 @@
 LOAD_KIND: Final = 'load'
 _ROUND_SECONDS: Final = 0.5
 _POLL_TIMEOUT_SECONDS: Final = 1.0
-_MAX_CHANGES: Final = 64
 
 _log = make_logger('loads')
 
@@ -40,7 +40,7 @@
     in_flight: int
     capacity: int
     measured_wall: float
-    changes: tuple[PrefixChange, ...]
+    batch: ChangeBatch | None
 
 
 class HostLoad(Struct, frozen=True, array_like=True):
@@ -93,7 +93,7 @@
         polls = [
             self._poll(name, engine)
             for name, engine in self._parts.pool.list_engines().items()
-            if self._is_poller(name)
+            if self._rank_poller(name) is not None
         ]
         await asyncio.gather(*polls)
         self._take_peers()
@@ -102,11 +102,11 @@
         if now >= self._publish_at:
             self._publish(now)
 
-    def _is_poller(self, server: str) -> bool:
+    def _rank_poller(self, server: str) -> int | None:
         servers = self._parts.knowledge.configuration.backend_servers
         described = servers.get(server)
         if described is None:
-            return False
+            return None
         zones = {
             peer.name: peer.zone
             for peer in self._parts.peers.list_peers()
@@ -115,7 +115,7 @@
         zones[self._host_name] = self._zone
         near = [name for name, zone in zones.items() if zone == described.zone]
         # A zone without entry hosts is polled from the others.
-        return self._host_name in choose_pollers(server, near or list(zones))
+        return rank_poller(server, self._host_name, near or list(zones))
 
     async def _poll(self, name: str, engine: ModelEngine) -> None:
         try:
@@ -133,24 +133,38 @@
         self._parts.knowledge.availability.note_answer(name)
         if report.leaving:
             self._parts.liveness.report_leaving(name)
-        changes = await self._read_changes(name, engine)
-        self._polled[name] = _describe_poll(name, report, changes)
-        self._take_polled(self._polled[name])
+        polled = PolledServer(
+            name,
+            report.running + report.waiting,
+            report.capacity,
+            report.measured_wall,
+            await self._read_changes(name, engine),
+        )
+        self._take_polled(polled)
+        if self._rank_poller(name) == 0:
+            self._polled[name] = polled
 
     async def _read_changes(
         self, name: str, engine: ModelEngine
-    ) -> tuple[PrefixChange, ...]:
+    ) -> ChangeBatch | None:
         after = self._parts.knowledge.caches.find(name).number
         read = await engine.read_cache_events(after)
-        if not is_successful(read):
-            return ()
-        return tuple(
-            PrefixChange(event.number, event.stored, event.prefix_key)
-            for event in read.unwrap()
+        if not is_successful(read) or not read.unwrap():
+            return None
+        events = read.unwrap()
+        last = events[-1].number
+        return ChangeBatch(
+            after,
+            last,
+            max(0, last - after - len(events)),
+            tuple(
+                PrefixChange(event.stored, event.prefix_key)
+                for event in events
+                if is_sampled(event.prefix_key)
+            ),
         )
 
     def _note_failure(self, name: str) -> None:
-        self._polled.pop(name, None)
         self._parts.knowledge.availability.note_failure(
             name, self._clock.read_monotonic()
         )
@@ -164,7 +178,8 @@
                 self._convert_wall(polled.measured_wall),
             )
         )
-        knowledge.caches.find(polled.server).take_changes(polled.changes)
+        if polled.batch is not None:
+            knowledge.caches.find(polled.server).take_batch(polled.batch)
 
     def _take_peers(self) -> None:
         while not self._arrived.empty():
@@ -208,15 +223,3 @@
     def _convert_wall(self, wall: float) -> float:
         age = max(0, self._clock.read_wall() - wall)
         return self._clock.read_monotonic() - age
-
-
-def _describe_poll(
-    name: str, report: LoadReport, changes: tuple[PrefixChange, ...]
-) -> PolledServer:
-    return PolledServer(
-        name,
-        report.running + report.waiting,
-        report.capacity,
-        report.measured_wall,
-        changes[-_MAX_CHANGES:],
-    )
--- a/src/monsoonwall/pipeline/admission.py
+++ b/src/monsoonwall/pipeline/admission.py
@@ -135,6 +135,7 @@
         self._demands = demands
         self._limits: dict[str, _WorkspaceLimits] = {}
         self._held: dict[str, Counter[str]] = defaultdict(Counter)
+        self._batch: Counter[str] = Counter()
         self._wanted: dict[str, dict[str, RateMeter]] = {}
         self._hold_seconds: dict[str, float] = {}
 
@@ -157,10 +158,12 @@
             return Failure(_refuse_limit(call, wait))
         ENTRY_VERDICTS.labels(call.service, verdict).inc()
         self._held[call.service][call.workspace] += 1
+        self._batch[call.service] += call.priority is Priority.batch
         return Success(call)
 
     def release(self, call: Call, now: float) -> None:
         """Give back what the call held."""
+        self._batch[call.service] -= call.priority is Priority.batch
         held = self._held[call.service]
         held[call.workspace] -= 1
         if held[call.workspace] <= 0:
@@ -181,7 +184,7 @@
         return limits.enter(
             workspaces.get(call.workspace, _NO_WORKSPACE),
             self._demands.share_workspace(call.workspace, now),
-            len(call.prompt.split()) + call.max_tokens,
+            self._knowledge.find_prompt(call).words + call.max_tokens,
             now,
         )
 
@@ -191,6 +194,7 @@
         return ServiceSlots(
             self._knowledge.measure_capacity(call.service, now),
             self._demands.share_service(call.service, now),
+            self._batch[call.service],
             self._held[call.service],
             {
                 name: meter.read(now) * hold
--- a/src/monsoonwall/pipeline/knowledge.py
+++ b/src/monsoonwall/pipeline/knowledge.py
@@ -6,6 +6,7 @@
 
 from collections import defaultdict
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Final
 
 from cachetools import LRUCache
@@ -22,6 +23,14 @@
 _MIN_SHARE: Final = 0.02
 
 
+@dataclass(frozen=True)
+class Prompt:
+    """Describe a prompt; a word is counted as one token."""
+
+    words: int
+    keys: tuple[str, ...]
+
+
 class ServerKnowledge:
     """Hold loads, caches and availability under one configuration."""
 
@@ -31,7 +40,7 @@
         self.availability = Availability()
         self._configuration = Configuration(0)
         self._by_version: dict[tuple[str, str], list[str]] = {}
-        self._keys: LRUCache[str, tuple[str, ...]] = LRUCache(_MAX_PROMPTS)
+        self._prompts: LRUCache[str, Prompt] = LRUCache(_MAX_PROMPTS)
         self._dispatches: dict[str, dict[str, RateMeter]] = {}
         self._capacities: dict[str, tuple[float, float]] = {}
 
@@ -55,13 +64,15 @@
         """Return the servers of a version, in the same order anywhere."""
         return self._by_version.get((service, version), [])
 
-    def find_keys(self, call: Call) -> tuple[str, ...]:
-        """Return the prefix keys of a call's prompt."""
-        keys = self._keys.get(call.content_key)
-        if keys is None:
-            keys = make_prefix_keys(call.prompt)
-            self._keys[call.content_key] = keys
-        return keys
+    def find_prompt(self, call: Call) -> Prompt:
+        """Return the size and the prefix keys of a call's prompt."""
+        prompt = self._prompts.get(call.content_key)
+        if prompt is None:
+            prompt = Prompt(
+                len(call.prompt.split()), make_prefix_keys(call.prompt)
+            )
+            self._prompts[call.content_key] = prompt
+        return prompt
 
     def note_version(self, service: str, version: str, now: float) -> None:
         """Count a dispatch to a version."""
--- a/src/monsoonwall/pipeline/routing.py
+++ b/src/monsoonwall/pipeline/routing.py
@@ -5,13 +5,15 @@
 
 from returns.result import Failure, Result, Success
 
-from monsoonwall.configuration.model import BackendServer
+from monsoonwall.configuration.model import BackendServer, LatencyTarget
+from monsoonwall.decisions.cache import BLOCK_WORDS
 from monsoonwall.decisions.hashing import hash_text
 from monsoonwall.decisions.load import Work
 from monsoonwall.decisions.routing import (
     Candidate,
     Need,
     Weights,
+    choose_affinities,
     choose_candidate,
     choose_isolated,
     shorten_list,
@@ -33,7 +35,6 @@
 
 _RETRY_AFTER_SECONDS: Final = 1.0
 _OVERDUE_SECONDS: Final = 5.0
-_DEFAULT_TARGET_SECONDS: Final = 0.44
 _FAILED_ENDINGS: Final = frozenset(
     (
         AttemptEnding.crashed,
@@ -76,7 +77,7 @@
         candidates = self._list_candidates(call, version, excluded, now)
         if not candidates:
             return Failure(_refuse_no_server(call, excluded))
-        need = self._describe_need(call)
+        need = self._describe_need(call, candidates)
         chosen = (
             choose_isolated(candidates, need)
             if apart
@@ -89,12 +90,12 @@
     ) -> None:
         """Count work sent to a server before its load report shows it."""
         knowledge = self._knowledge
-        keys = knowledge.find_keys(call)
+        prompt = knowledge.find_prompt(call)
         cache = knowledge.caches.find(choice.server)
-        guessed = cache.estimate_cached(keys)
-        cache.note_dispatch(keys)
+        guessed = cache.estimate_cached(prompt.keys)
+        cache.note_dispatch(prompt.keys)
         work = Work(
-            max(0, _count_prompt(call) - int(guessed)),
+            max(0, prompt.words - int(guessed)),
             call.priority is Priority.interactive,
             choice.isolated,
         )
@@ -118,7 +119,7 @@
             availability.note_answer(server)
         if record.first_token_at is None:
             return
-        keys = self._knowledge.find_keys(record.call)
+        keys = self._knowledge.find_prompt(record.call).keys
         self._knowledge.caches.find(server).learn(
             keys, opened.guessed if opened else 0, record.cached_tokens
         )
@@ -155,12 +156,12 @@
             ),
             now,
         )
-        keys = knowledge.find_keys(call)
-        affinity = keys[0] if keys else call.request_id
+        keys = knowledge.find_prompt(call).keys
+        affinities = choose_affinities(keys, call.request_id)
         servers = knowledge.configuration.backend_servers
         return [
             self._describe_candidate(name, servers[name], keys, now)
-            for name in shorten_list(usable, _make_seed(call), affinity)
+            for name in shorten_list(usable, _make_seed(call), affinities)
         ]
 
     def _describe_candidate(
@@ -178,20 +179,29 @@
             self._knowledge.loads.find(name).estimate(now),
         )
 
-    def _describe_need(self, call: Call) -> Need:
+    def _describe_need(self, call: Call, candidates: list[Candidate]) -> Need:
         route = self._knowledge.configuration.routes.get(call.route)
-        keys = self._knowledge.find_keys(call)
+        target = route.latency_target if route else LatencyTarget()
         return Need(
-            _count_prompt(call),
+            self._knowledge.find_prompt(call).words,
             call.priority is Priority.interactive,
-            route.latency_target.first_token_seconds
-            if route
-            else _DEFAULT_TARGET_SECONDS,
+            target.first_token_seconds,
             self._zone,
             _make_seed(call),
-            keys[0] if keys else call.request_id,
+            self._find_affinity(call, candidates),
         )
 
+    def _find_affinity(self, call: Call, candidates: list[Candidate]) -> str:
+        # What is cached anywhere is shared by many prompts. The first block
+        # past it is what tells this prompt's family from the others.
+        keys = self._knowledge.find_prompt(call).keys
+        caches = self._knowledge.caches
+        known = max(
+            caches.find(one.server).count_known(keys) for one in candidates
+        )
+        following = keys[known // BLOCK_WORDS :] or keys[-1:]
+        return following[0] if following else call.request_id
+
 
 @dataclass(frozen=True)
 class _OpenAttempt:
@@ -202,10 +212,6 @@
     deadline: float
 
 
-def _count_prompt(call: Call) -> int:
-    return len(call.prompt.split())
-
-
 def _make_seed(call: Call) -> int:
     return hash_text(call.request_id)
 
--- /dev/null
+++ b/tests/decisions/test_admission.py
@@ -0,0 +1,150 @@
+"""Test limits, fair parts and the decision to let a call in."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from monsoonwall.decisions.admission import (
+    EntryVerdict,
+    RateMeter,
+    ServiceSlots,
+    TokenBucket,
+    decide_entry,
+    suggest_return,
+)
+from monsoonwall.decisions.fairness import divide_fairly, share_limit
+
+names = st.sampled_from(['depot', 'hotline', 'shop', 'audit'])
+amounts = st.dictionaries(names, st.floats(0, 100), min_size=1)
+weights = st.dictionaries(names, st.floats(0.1, 10))
+demands = st.lists(st.floats(0, 1000), min_size=1, max_size=9)
+
+
+def repeat_calls(times, *calls):
+    """Return the calls (workspace, urgent) so many times over."""
+    return [call for _ in range(times) for call in calls]
+
+
+class FairnessTest(unittest.TestCase):
+    """Check parts against what fairness means."""
+
+    @given(st.floats(0, 200), amounts, weights)
+    def test_parts_are_max_min_fair(self, total, wanted, weighed):
+        parts = divide_fairly(total, wanted, weighed)
+        self.assertAlmostEqual(
+            sum(parts.values()), min(total, sum(wanted.values())), places=6
+        )
+        for name, part in parts.items():
+            self.assertLessEqual(part, wanted[name] + 1e-9)
+            if part < wanted[name] - 1e-6:
+                # Whoever lacks has at least as much for its weight.
+                level = part / weighed.get(name, 1)
+                for other, given_part in parts.items():
+                    self.assertLessEqual(
+                        given_part / weighed.get(other, 1), level + 1e-6
+                    )
+
+    @given(demands)
+    def test_hosts_parts_add_up(self, hosts):
+        parts = [
+            share_limit(own, tuple(hosts[:place] + hosts[place + 1 :]))
+            for place, own in enumerate(hosts)
+        ]
+        self.assertAlmostEqual(sum(parts), 1)
+        self.assertGreater(min(parts), 0)
+
+
+class TokenBucketTest(unittest.TestCase):
+    """Compare the bucket with a plain count of what was let in."""
+
+    @given(
+        st.floats(1, 100),
+        st.lists(st.tuples(st.floats(0, 0.5), st.floats(0.1, 3)), max_size=100),
+    )
+    def test_never_above_the_limit(self, rate, arrivals):
+        bucket = TokenBucket()
+        now = 10
+        taken = 0
+        for pause, amount in arrivals:
+            now += pause
+            if not bucket.measure_wait(amount, rate, now):
+                bucket.take(amount, rate, now)
+                taken += amount
+        # One burst, one call that made a debt, and the rate since then.
+        self.assertLessEqual(taken, max(1, rate) + 3 + rate * (now - 10) + 1e-6)
+
+    @given(st.floats(1, 100), st.floats(0.1, 5))
+    def test_wait_is_true(self, rate, amount):
+        bucket = TokenBucket()
+        bucket.take(2 * rate, rate, 1)
+        wait = bucket.measure_wait(amount, rate, 1)
+        self.assertGreater(wait, 0)
+        later = 1 + wait + 1e-6
+        self.assertEqual(bucket.measure_wait(amount, rate, later), 0)
+
+
+class RateMeterTest(unittest.TestCase):
+    """Measure a steady flow."""
+
+    @given(st.floats(1, 50))
+    def test_steady_flow_reads_as_its_rate(self, rate):
+        meter = RateMeter()
+        now = 0
+        for _ in range(int(60 * rate)):
+            now += 1 / rate
+            meter.add(1, now)
+        self.assertAlmostEqual(meter.read(now) / rate, 1, delta=0.1)
+
+
+class EntryTest(unittest.TestCase):
+    """Fill a service and see who may still enter."""
+
+    def fill(self, arrivals, capacity=40, weighed=None):
+        """Return what is held after arrivals of (workspace, urgent)."""
+        held = {}
+        wanted = {}
+        batch = 0
+        for workspace, _ in arrivals:
+            wanted[workspace] = wanted.get(workspace, 0) + 1
+        verdicts = []
+        for workspace, urgent in arrivals:
+            slots = ServiceSlots(
+                capacity, 1, batch, held, wanted, weighed or {}
+            )
+            verdict = decide_entry(slots, workspace, urgent)
+            verdicts.append(verdict)
+            if verdict is EntryVerdict.admitted:
+                held[workspace] = held.get(workspace, 0) + 1
+                batch += not urgent
+        return held, verdicts
+
+    def test_batch_work_leaves_room_for_questions(self):
+        held, verdicts = self.fill(repeat_calls(500, ('depot', False)))
+        self.assertIs(verdicts[-1], EntryVerdict.full)
+        slots = ServiceSlots(40, 1, sum(held.values()), held, {}, {})
+        self.assertIs(decide_entry(slots, 'depot', True), EntryVerdict.admitted)
+
+    def test_small_workspaces_get_in_beside_a_large_one(self):
+        tenth = (*repeat_calls(9, ('large', True)), ('small', True))
+        arrivals = repeat_calls(50, *tenth)
+        _, verdicts = self.fill(arrivals)
+        small = [
+            verdict
+            for (name, _), verdict in zip(arrivals, verdicts, strict=True)
+            if name == 'small'
+        ]
+        # 50 calls are wanted beside 450, of at least 40 slots for two equal
+        # workspaces: at least a good third of the slots belongs to it.
+        self.assertGreaterEqual(small.count(EntryVerdict.admitted), 13)
+        self.assertIn(EntryVerdict.over_share, verdicts)
+
+    @given(st.lists(st.tuples(names, st.booleans()), max_size=200))
+    def test_never_more_than_twice_the_capacity(self, arrivals):
+        held, _ = self.fill(arrivals, capacity=20)
+        self.assertLessEqual(sum(held.values()), 40)
+
+    @given(st.floats(0, 1000), st.floats(0, 1))
+    def test_callers_are_told_a_time_that_is_not_far(self, wait, spread):
+        self.assertGreaterEqual(suggest_return(wait, spread), 0.5)
+        self.assertLessEqual(suggest_return(wait, spread), 30)
--- /dev/null
+++ b/tests/decisions/test_routing.py
@@ -0,0 +1,276 @@
+"""Test the estimates and the choice of a backend server."""
+
+import unittest
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from monsoonwall.decisions.cache import (
+    BLOCK_WORDS,
+    CacheView,
+    ChangeBatch,
+    PrefixChange,
+    is_sampled,
+    make_prefix_keys,
+)
+from monsoonwall.decisions.load import (
+    Report,
+    ServerCounts,
+    ServerLoad,
+    ServerTrack,
+    Work,
+)
+from monsoonwall.decisions.polling import rank_poller
+from monsoonwall.decisions.routing import (
+    Candidate,
+    Need,
+    Weights,
+    choose_candidate,
+    shorten_list,
+    weigh_candidate,
+)
+from tests.standins.engine import make_blocks
+
+words = st.lists(st.sampled_from(['hand', 'warmer', 'refill']), max_size=200)
+loads = st.builds(
+    ServerLoad,
+    in_flight=st.integers(0, 40),
+    urgent=st.integers(0, 40),
+    capacity=st.integers(1, 20),
+    backlog_tokens=st.integers(0, 20_000),
+    urgent_tokens=st.integers(0, 20_000),
+    report_age=st.floats(0, 10),
+)
+candidates = st.builds(
+    Candidate,
+    server=st.uuids().map(str),
+    zone=st.sampled_from(['zone-a', 'zone-b']),
+    price_per_hour=st.floats(0.1, 5),
+    cached_tokens=st.integers(0, 6000),
+    load=loads,
+)
+needs = st.builds(
+    Need,
+    prompt_tokens=st.integers(0, 8000),
+    urgent=st.booleans(),
+    target_seconds=st.floats(0.1, 5),
+    zone=st.just('zone-a'),
+    seed=st.integers(0, 2**64 - 1),
+    affinity=st.text(max_size=4),
+)
+
+
+class PrefixKeysTest(unittest.TestCase):
+    """Compare the running hash with the engine's own way."""
+
+    @given(words)
+    def test_same_as_engine(self, prompt):
+        text = '  '.join(prompt)
+        self.assertEqual(list(make_prefix_keys(text)), make_blocks(text))
+
+
+class CacheMachine(RuleBasedStateMachine):
+    """Compare a view with the cache, when no event is lost."""
+
+    prompts = tuple(
+        make_prefix_keys(f'{first} ' * 400 + f'{second} ' * 800)
+        for first in ('depot', 'shop')
+        for second in ('log', 'record', 'setting')
+    )
+
+    def __init__(self):
+        super().__init__()
+        self.view = CacheView()
+        self.cached = set()
+        self.number = 0
+
+    def send(self, changes):
+        after = self.number
+        self.number += len(changes)
+        followed = tuple(one for one in changes if is_sampled(one.prefix_key))
+        self.view.take_batch(ChangeBatch(after, self.number, 0, followed))
+
+    @rule(prompt=st.sampled_from(prompts))
+    def store(self, prompt):
+        self.cached.update(prompt)
+        self.send([PrefixChange(True, key) for key in prompt])
+
+    @rule(prompt=st.sampled_from(prompts), kept=st.integers(0, 75))
+    def evict(self, prompt, kept):
+        # Whatever builds on an evicted prefix goes with it.
+        gone = [
+            key
+            for other in self.prompts
+            if other[:kept] == prompt[:kept]
+            for key in other[kept:]
+        ]
+        self.cached.difference_update(gone)
+        self.send([PrefixChange(False, key) for key in gone])
+
+    @rule(prompt=st.sampled_from(prompts))
+    def compare(self, prompt):
+        blocks = 0
+        while blocks < len(prompt) and prompt[blocks] in self.cached:
+            blocks += 1
+        known = self.view.count_known(prompt)
+        assert known <= blocks * BLOCK_WORDS
+        unfollowed = prompt[known // BLOCK_WORDS : blocks]
+        assert not any(is_sampled(key) for key in unfollowed)
+        assert self.view.trust == 1
+
+
+class CacheViewTest(unittest.TestCase):
+    """Lose events and learn from answers."""
+
+    def test_gap_is_distrusted_until_answers_confirm(self):
+        keys = make_prefix_keys('zone ' * 1600)
+        view = CacheView()
+        view.note_dispatch(keys)
+        whole = view.estimate_cached(keys)
+        view.take_batch(ChangeBatch(500, 500, 0))
+        doubtful = view.estimate_cached(keys)
+        self.assertLess(doubtful, whole)
+        for _ in range(20):
+            view.learn(keys, doubtful, 1600)
+        self.assertGreater(view.estimate_cached(keys), 0.95 * whole)
+
+    def test_answers_without_hits_lower_the_trust(self):
+        keys = make_prefix_keys('zone ' * 1600)
+        view = CacheView()
+        view.note_dispatch(keys)
+        for _ in range(20):
+            view.learn(keys, view.estimate_cached(keys), 0)
+        self.assertLess(view.estimate_cached(keys), 0.5 * 1600)
+
+
+class LoadMachine(RuleBasedStateMachine):
+    """Compare the estimate with the truth at a server with two hosts.
+
+    A peer's counts are known as of its messages. When one came before the
+    report and one since the last change, nothing is missed or doubled.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.own = 0
+        self.peer = 0
+        self.track = ServerTrack()
+        self.reported = False
+        self.work = Work(10, True)
+
+    @rule(seconds=st.floats(0.01, 1))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule()
+    def start(self):
+        self.own += 1
+        self.track.note_start(self.work, self.now)
+
+    @rule()
+    def end(self):
+        if self.own:
+            self.own -= 1
+            self.track.note_end(self.work, self.now)
+
+    @rule(running=st.integers(0, 30))
+    def change_peer(self, running):
+        self.peer = running
+
+    @rule()
+    def report(self):
+        self.send_counts()
+        self.now += 0.01
+        running = self.own + self.peer
+        self.track.take_report(Report(running, 16, self.now))
+        self.reported = True
+        self.now += 0.01
+
+    @precondition(lambda machine: machine.reported)
+    @rule()
+    def compare(self):
+        self.send_counts()
+        estimate = self.track.estimate(self.now).in_flight
+        assert estimate == self.own + self.peer, (estimate, self.own)
+
+    def send_counts(self):
+        self.now += 0.01
+        counts = ServerCounts(self.peer)
+        self.track.take_peer('peer', counts, self.now)
+
+    @rule()
+    def own_work_is_never_missed(self):
+        assert self.track.estimate(self.now).in_flight >= self.own
+
+
+class ChoiceTest(unittest.TestCase):
+    """Compare the choice with weighing every server."""
+
+    @given(st.lists(candidates, min_size=1, max_size=8), needs)
+    def test_never_far_from_the_cheapest(self, offered, need):
+        weights = Weights()
+        chosen = choose_candidate(offered, need, weights)
+        cheapest = min(weigh_candidate(one, need, weights) for one in offered)
+        cost = weigh_candidate(chosen, need, weights)
+        self.assertLessEqual(cost, cheapest + 0.08)
+
+    @given(candidates, needs)
+    def test_worse_servers_cost_more(self, one, need):
+        weights = Weights()
+        cost = weigh_candidate(one, need, weights)
+        load = one.load
+        worse = (
+            replace(one, cached_tokens=0),
+            replace(one, price_per_hour=one.price_per_hour * 2),
+            replace(one, zone='zone-c'),
+            replace(one, load=replace(load, in_flight=load.in_flight + 50)),
+            replace(
+                one,
+                load=replace(load, backlog_tokens=load.backlog_tokens + 50_000),
+            ),
+        )
+        for other in worse:
+            self.assertGreaterEqual(
+                weigh_candidate(other, need, weights), cost - 1e-9
+            )
+
+    def test_hosts_with_one_stale_view_spread(self):
+        stale = ServerLoad(report_age=2)
+        offered = [
+            Candidate(f'engine-{number}', 'zone-a', 1, 0, stale)
+            for number in range(6)
+        ]
+        need = Need(100, True, 0.44, 'zone-a', 0, '')
+        counts = {one.server: 0 for one in offered}
+        for number in range(600):
+            seeded = replace(need, seed=hash(number) * 2_654_435_761)
+            chosen = choose_candidate(offered, seeded, Weights())
+            counts[chosen.server] += 1
+        # A herd would send all 600 to one; even spread is 100 each.
+        self.assertLess(max(counts.values()), 300)
+
+    @given(st.integers(1, 500), st.integers(0, 2**64 - 1), st.text(max_size=4))
+    def test_shortlist_is_short_and_shared(self, total, seed, affinity):
+        servers = [f'engine-{number}' for number in range(total)]
+        listed = shorten_list(servers, seed, [affinity])
+        self.assertLessEqual(len(listed), max(24, min(total, 24)))
+        self.assertTrue(set(listed) <= set(servers))
+        other = shorten_list(servers, seed + 1, [affinity])
+        self.assertTrue(set(listed) & set(other))
+
+
+class PollingTest(unittest.TestCase):
+    """Divide engines among hosts without talking."""
+
+    @given(st.sets(st.text(max_size=5), min_size=2, max_size=9))
+    def test_two_hosts_poll_each_server(self, hosts):
+        ranks = [rank_poller('engine', host, hosts) for host in hosts]
+        taken = sorted(rank for rank in ranks if rank is not None)
+        self.assertEqual(taken, [0, 1])
+
+
+CacheMachineTest = CacheMachine.TestCase
+LoadMachineTest = LoadMachine.TestCase
