--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -2,30 +2,31 @@
 
 import asyncio
 import signal
+from typing import Final
 
-from tornado.httpclient import AsyncHTTPClient
 from tornado.httpserver import HTTPServer
 
 from monsoonwall.backends.pool import BackendPool
 from monsoonwall.clocks import Clock
 from monsoonwall.configuration.model import Configuration
-from monsoonwall.entry.configuring import ConfigurationTask
+from monsoonwall.entry.claiming import Claims
 from monsoonwall.entry.controls import RequestControls
+from monsoonwall.entry.copying import Copying, describe_host
 from monsoonwall.entry.meshing import Mesh
-from monsoonwall.entry.requests import RequestTasks
-from monsoonwall.entry.state import HostState, Serving
+from monsoonwall.entry.moving import MovingTask
+from monsoonwall.entry.operating import Operating
+from monsoonwall.entry.reclaiming import Reclaiming
+from monsoonwall.entry.serving import ServingParts, build_serving
+from monsoonwall.entry.state import HostState
 from monsoonwall.entry.web import make_application, make_routes
 from monsoonwall.logs import make_logger
 from monsoonwall.metrics import CONFIGURATION_NUMBER
-from monsoonwall.pipeline.acceptance import Acceptance
-from monsoonwall.pipeline.baseline import (
-    ActiveVersionChoice,
-    OpenClaiming,
-)
-from monsoonwall.pipeline.dispatch import Dispatcher, Stages
-from monsoonwall.platform.http_objects import HttpObjectStore
 from monsoonwall.settings import EntrySettings, split_address
 
+# How long a connection may be idle, and how long a body may take to arrive.
+_IDLE_SECONDS: Final = 75
+_BODY_SECONDS: Final = 30
+
 _log = make_logger('host')
 
 
@@ -37,54 +38,88 @@
         self._clock = clock
         self._state = HostState()
         self._pool = BackendPool(clock)
-        self._tasks = RequestTasks(self._state, clock)
-        self._client = AsyncHTTPClient(force_instance=True)
         self._stopping = asyncio.Event()
-        store = HttpObjectStore(settings.platform_address, self._client, clock)
         self._mesh = Mesh(settings, clock)
+        self._operating = Operating(
+            settings, self._state, self._mesh.board, clock, self.adopt
+        )
+        self._claims = Claims(
+            settings.host_name,
+            self._operating.store,
+            self._mesh.peers,
+            clock,
+        )
         self._controls = RequestControls(
             settings, self._mesh, self._pool, clock
         )
-        self._configuring = ConfigurationTask(store, clock, self.adopt)
+        self._moving = MovingTask(
+            self._mesh.board, self._operating.store, clock, settings.host_name
+        )
+        self._operating.reports.add_reporter(
+            'moves', self._moving.describe_moves
+        )
+        self._parts = ServingParts(
+            settings.host_name,
+            self._pool,
+            self._operating,
+            self._controls,
+            self._moving,
+            self._claims.claiming,
+            clock,
+        )
+        own = describe_host(settings)
+        self._copying = Copying(self._state, clock, own, self._mesh.peers)
+        self._tasks = self._copying.tasks
+        self._reclaiming = Reclaiming(
+            settings, self._state, self._pool, self._mesh, clock
+        )
 
     async def run(self) -> None:
         """Serve until a signal asks for the shutdown."""
         loop = asyncio.get_running_loop()
         for asked in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(asked, self._stopping.set)
-        await self._mesh.start()
+        await self._mesh.start(
+            (
+                self._claims.registrar,
+                self._copying.register,
+            )
+        )
         server = self._listen()
-        configuring = asyncio.create_task(self._configuring.run())
-        controlling = asyncio.create_task(self._controls.run())
+        running = [
+            asyncio.create_task(task.run())
+            for task in (
+                self._operating.configuring,
+                self._controls,
+                self._moving,
+                self._copying,
+                self._reclaiming,
+            )
+        ]
         _log.info('Entry host started.', address=self._settings.listen_address)
         await self._stopping.wait()
         await self._shut_down(server)
-        controlling.cancel()
-        configuring.cancel()
+        for task in running:
+            task.cancel()
 
     def adopt(self, configuration: Configuration) -> None:
         """Put a configuration in force for requests accepted from now on."""
-        self._pool.adopt(configuration)
-        self._controls.adopt(configuration)
-        stages = Stages(
-            ActiveVersionChoice(configuration),
-            self._controls.routing,
-            self._controls.retries,
-            OpenClaiming(),
-            self._controls.observers,
-        )
-        self._state.serving = Serving(
-            configuration,
-            Acceptance(configuration, self._settings.host_name),
-            self._controls.admission,
-            self._controls.screening,
-            Dispatcher(stages, self._pool, self._clock),
-        )
+        self._state.serving = build_serving(configuration, self._parts)
         CONFIGURATION_NUMBER.set(configuration.number)
 
     def _listen(self) -> HTTPServer:
         server = HTTPServer(
-            make_application(make_routes(self._state, self._tasks)),
+            make_application(
+                [
+                    *make_routes(
+                        self._state, self._tasks, self._copying.finder
+                    ),
+                    *self._operating.make_routes(),
+                ],
+                self._settings.max_body_bytes,
+            ),
+            idle_connection_timeout=_IDLE_SECONDS,
+            body_timeout=_BODY_SECONDS,
             max_body_size=self._settings.max_body_bytes,
         )
         host, port = split_address(self._settings.listen_address)
@@ -99,9 +134,10 @@
             self._clock.read_monotonic() + self._settings.drain_seconds
         )
         left = await self._tasks.drain(drain_deadline)
+        await self._claims.stop(drain_deadline)
         await self._mesh.stop()
         server.stop()
         await server.close_all_connections()
-        self._client.close()
+        self._operating.close()
         self._pool.close()
         _log.info('Shutdown done.', requests_left=left)
--- a/src/monsoonwall/pipeline/messages.py
+++ b/src/monsoonwall/pipeline/messages.py
@@ -34,6 +34,7 @@
     key_required = 'idempotency_key_required'
     key_reused = 'idempotency_key_reused'
     in_progress = 'already_in_progress'
+    answer_not_kept = 'answer_not_kept'
     workspace_limit = 'workspace_limit'
     overloaded = 'overloaded'
     crashing_request = 'crashing_request'
@@ -45,6 +46,7 @@
     not_ready = 'entry_host_not_ready'
     stale_configuration = 'configuration_too_old'
     outcome_unknown = 'outcome_unknown'
+    answer_diverged = 'answer_diverged'
     internal = 'internal_error'
 
 
