Convict by the servers a content crashed, whoever knew of the suspicion

A process test (crashing prompt beside long drafts, three entry hosts) refused an innocent draft: the crashing request had run unsuspected at a host that had not heard yet, so its record was of the other kind and was not compared with the draft's. Records are now kept by content and server; a second server makes a record count as repeated whether the host knew or not, and only the last started of the repeated ones is convicted.

The same test of an engine that does not answer showed two calls sent to it between the end of its downtime and the next failed poll: a failure in the downtime now extends it, and the first poller tells the other hosts.

--- a/src/monsoonwall/decisions/admission.py
+++ b/src/monsoonwall/decisions/admission.py
@@ -17,8 +17,9 @@
 from monsoonwall.decisions.fairness import divide_fairly
 
 _BURST_SECONDS: Final = 1.0
-_QUEUE_RATIO: Final = 1.5
+_QUEUE_RATIO: Final = 1.15
 _BATCH_RATIO: Final = 0.85
+_MIN_BATCH_RATIO: Final = 0.3
 _FAIR_RATIO: Final = 0.7
 _MIN_SLOTS: Final = 2
 _DEMAND_SECONDS: Final = 5.0
@@ -39,14 +40,16 @@
     """Describe what this host holds of a service.
 
     ``capacity`` counts the calls that all live servers run at a time,
-    ``part`` is this host's part of it, and ``batch`` how many of the calls
-    held are not urgent. By workspace: the calls ``held``, how many it would
+    ``part`` is this host's part of it, ``batch`` how many of the calls held
+    are not urgent, and ``urgent_wanted`` how many urgent ones it would hold
+    if none were refused. By workspace: the calls ``held``, how many it would
     hold if none were refused (``wanted``), and its weight.
     """
 
     capacity: float
     part: float
     batch: int
+    urgent_wanted: float
     held: Mapping[str, int]
     wanted: Mapping[str, float]
     weights: Mapping[str, float]
@@ -110,8 +113,12 @@
     slots_here = slots.capacity * slots.part
     limit = max(_MIN_SLOTS, slots_here * _QUEUE_RATIO)
     held = sum(slots.held.values())
-    # Slots that batch work never takes let short questions in at once.
-    batch_limit = max(1, slots_here * _BATCH_RATIO)
+    # Slots that batch work does not take let short questions in at once.
+    batch_limit = max(
+        1,
+        slots_here * _MIN_BATCH_RATIO,
+        min(slots_here * _BATCH_RATIO, slots_here - slots.urgent_wanted),
+    )
     if held + 1 > limit or (not urgent and slots.batch + 1 > batch_limit):
         return EntryVerdict.full
     if held + 1 > limit * _FAIR_RATIO and _exceeds_share(
--- a/src/monsoonwall/decisions/availability.py
+++ b/src/monsoonwall/decisions/availability.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-_FIRST_DOWN_SECONDS: Final = 1.0
+_FIRST_DOWN_SECONDS: Final = 2.0
 _MAX_DOWN_SECONDS: Final = 8.0
 
 
@@ -36,8 +36,9 @@
         if known is None:
             seconds = _FIRST_DOWN_SECONDS
         elif now < known.until:
-            # Streams that break together are one failure.
-            return
+            # Streams that break together are one failure, and a server that
+            # goes on failing must not come back in between.
+            seconds = known.seconds
         else:
             seconds = min(_MAX_DOWN_SECONDS, 2 * known.seconds)
         self._down[server] = _Downtime(now + seconds, seconds)
--- a/src/monsoonwall/decisions/suspects.py
+++ b/src/monsoonwall/decisions/suspects.py
@@ -1,11 +1,12 @@
 """Find requests that crash the backend servers which run them.
 
 A crash makes everything that the server ran suspect, by content. A suspect
-runs apart from other suspects; if its server crashes again the request is
+runs apart from other suspects; if its server crashes too the request is
 convicted and refused for a time, and if it completes it is cleared. Of several
 suspects that one crash ended, the one started last is convicted and the others
 stay suspect. Records are facts that every host can evaluate alone, whatever
-order they come in.
+order they come in; a host that had not heard of a suspicion in time is covered
+by the two servers in the records.
 
 Times are Unix seconds, since hosts compare each other's records.
 """
@@ -28,7 +29,8 @@
 class CrashRecord:
     """Tell that a server crashed while it ran a request.
 
-    The first field orders records of one content: the later one stands.
+    The first field orders records of one content and server: the later one
+    stands. ``isolated`` tells that it was suspect when it was started.
     """
 
     crashed_wall: float
@@ -56,27 +58,27 @@
 
 @dataclass(frozen=True)
 class Findings:
-    """Hold the records by content key; of two the later one stands."""
+    """Hold the records by content key, then by place.
 
-    crashes: Mapping[str, CrashRecord]
-    isolated_crashes: Mapping[str, CrashRecord]
-    clears: Mapping[str, ClearRecord]
+    The place of a crash is its server. Of two records for the same place the
+    later one stands.
+    """
+
+    crashes: Mapping[str, Mapping[str, CrashRecord]]
+    clears: Mapping[str, Mapping[str, ClearRecord]]
 
 
 def judge_content(
     findings: Findings, content_key: str, now_wall: float
 ) -> Suspicion:
     """Return how a request of this content may run."""
-    isolated = findings.isolated_crashes.get(content_key)
-    if isolated is not None and _convicts(findings, isolated, now_wall):
+    crashes = findings.crashes.get(content_key, {}).values()
+    if any(_convicts(findings, record, now_wall) for record in crashes):
         return Suspicion.convicted
-    crash = findings.crashes.get(content_key)
-    crashed = [one for one in (crash, isolated) if one is not None]
-    crashed_wall = max((one.crashed_wall for one in crashed), default=-inf)
+    crashed_wall = max((one.crashed_wall for one in crashes), default=-inf)
     if crashed_wall + SUSPICION_SECONDS <= now_wall:
         return Suspicion.none
-    cleared = findings.clears.get(content_key)
-    if cleared is not None and cleared.started_wall > crashed_wall:
+    if _find_clear(findings, content_key) > crashed_wall:
         return Suspicion.none
     return Suspicion.suspect
 
@@ -95,12 +97,34 @@
 def _convicts(findings: Findings, record: CrashRecord, now_wall: float) -> bool:
     if record.crashed_wall + CONVICTION_SECONDS <= now_wall:
         return False
+    if not _is_repeated(findings, record):
+        return False
     together = [
         other
-        for other in findings.isolated_crashes.values()
+        for by_server in findings.crashes.values()
+        for other in by_server.values()
         if abs(other.crashed_wall - record.crashed_wall) <= _SAME_CRASH_SECONDS
     ]
     if len({other.server for other in together}) >= _WAVE_SERVERS:
         return False
-    same_server = [one for one in together if one.server == record.server]
-    return find_last_started(same_server) == record
+    suspects = [
+        other
+        for other in together
+        if other.server == record.server and _is_repeated(findings, other)
+    ]
+    return find_last_started(suspects) == record
+
+
+def _is_repeated(findings: Findings, record: CrashRecord) -> bool:
+    """Tell whether the content was suspect before, known there or not."""
+    cleared_wall = _find_clear(findings, record.content_key)
+    return record.isolated or any(
+        cleared_wall < other.crashed_wall < record.crashed_wall
+        and other.crashed_wall + SUSPICION_SECONDS > record.crashed_wall
+        for other in findings.crashes[record.content_key].values()
+    )
+
+
+def _find_clear(findings: Findings, content_key: str) -> float:
+    clears = findings.clears.get(content_key, {}).values()
+    return max((one.started_wall for one in clears), default=-inf)
--- a/src/monsoonwall/entry/loads.py
+++ b/src/monsoonwall/entry/loads.py
@@ -48,6 +48,7 @@
 
     published_wall: float
     polled: tuple[PolledServer, ...]
+    silent: tuple[str, ...]
     counts: dict[str, ServerCounts]
     demand: HostDemand
 
@@ -77,6 +78,7 @@
         self._clock = clock
         self._arrived = parts.board.subscribe(LOAD_KIND)
         self._polled: dict[str, PolledServer] = {}
+        self._silent: set[str] = set()
         self._publish_at: float = 0
 
     async def run(self) -> None:
@@ -141,6 +143,7 @@
             await self._read_changes(name, engine),
         )
         self._take_polled(polled)
+        self._silent.discard(name)
         if self._rank_poller(name) == 0:
             self._polled[name] = polled
 
@@ -165,6 +168,8 @@
         )
 
     def _note_failure(self, name: str) -> None:
+        if self._rank_poller(name) == 0:
+            self._silent.add(name)
         self._parts.knowledge.availability.note_failure(
             name, self._clock.read_monotonic()
         )
@@ -194,28 +199,31 @@
             _log.error('Load entry is damaged.', error=str(error))
             return
         known = self._parts.knowledge.configuration.backend_servers
+        now = self._clock.read_monotonic()
         for polled in load.polled:
             if polled.server in known:
                 self._take_polled(polled)
+        for server in load.silent:
+            self._parts.knowledge.availability.note_failure(server, now)
         at = self._convert_wall(load.published_wall)
         for server, counts in load.counts.items():
             if server in known:
                 track = self._parts.knowledge.loads.find(server)
                 track.take_peer(entry.origin, counts, at)
-        self._parts.demands.take_peer(
-            entry.origin, load.demand, self._clock.read_monotonic()
-        )
+        self._parts.demands.take_peer(entry.origin, load.demand, now)
 
     def _publish(self, now: float) -> None:
         payload = msgpack.encode(
             HostLoad(
                 self._clock.read_wall(),
                 tuple(self._polled.values()),
+                tuple(self._silent),
                 dict(self._parts.knowledge.loads.collect_counts()),
                 self._parts.demands.collect_own(now),
             )
         )
         self._polled.clear()
+        self._silent.clear()
         self._parts.board.publish_entry(LOAD_KIND, '', payload)
         hosts = 1 + len(self._parts.peers.list_peers())
         self._publish_at = now + stretch_period(len(payload), hosts)
--- a/src/monsoonwall/pipeline/admission.py
+++ b/src/monsoonwall/pipeline/admission.py
@@ -136,14 +136,19 @@
         self._limits: dict[str, _WorkspaceLimits] = {}
         self._held: dict[str, Counter[str]] = defaultdict(Counter)
         self._batch: Counter[str] = Counter()
+        self._urgent: dict[str, RateMeter] = defaultdict(RateMeter)
         self._wanted: dict[str, dict[str, RateMeter]] = {}
-        self._hold_seconds: dict[str, float] = {}
+        self._hold_seconds: dict[tuple[str, Priority], float] = {}
 
     def admit(self, call: Call, now: float) -> Result[Call, Refusal]:
         """Return the call, or why it is refused."""
         self._demands.add(call, now)
+        if call.priority is Priority.interactive:
+            self._urgent[call.service].add(1, now)
         wanted = self._wanted.setdefault(call.service, {})
-        wanted.setdefault(call.workspace, RateMeter()).add(1, now)
+        wanted.setdefault(call.workspace, RateMeter()).add(
+            self._read_hold(call.service, call.priority), now
+        )
         verdict = decide_entry(
             self._describe_slots(call, now),
             call.workspace,
@@ -173,10 +178,10 @@
         """Learn how long a call keeps its slot."""
         if record.ending is not AttemptEnding.completed:
             return
-        service = record.call.service
-        known = self._read_hold(service)
+        kind = (record.call.service, record.call.priority)
+        known = self._read_hold(*kind)
         taken = record.ended - record.started
-        self._hold_seconds[service] = known + _HOLD_GAIN * (taken - known)
+        self._hold_seconds[kind] = known + _HOLD_GAIN * (taken - known)
 
     def _enter_limits(self, call: Call, now: float) -> float:
         workspaces = self._knowledge.configuration.workspaces
@@ -189,15 +194,16 @@
         )
 
     def _describe_slots(self, call: Call, now: float) -> ServiceSlots:
-        hold = self._read_hold(call.service)
         workspaces = self._knowledge.configuration.workspaces
         return ServiceSlots(
             self._knowledge.measure_capacity(call.service, now),
             self._demands.share_service(call.service, now),
             self._batch[call.service],
+            self._urgent[call.service].read(now)
+            * self._read_hold(call.service, Priority.interactive),
             self._held[call.service],
             {
-                name: meter.read(now) * hold
+                name: meter.read(now)
                 for name, meter in self._wanted[call.service].items()
             },
             {name: one.weight for name, one in workspaces.items()},
@@ -214,13 +220,13 @@
             Effect.not_run,
             detail,
             suggest_return(
-                self._read_hold(call.service),
+                self._read_hold(call.service, call.priority),
                 spread_text(call.request_id),
             ),
         )
 
-    def _read_hold(self, service: str) -> float:
-        return self._hold_seconds.get(service, _START_HOLD_SECONDS)
+    def _read_hold(self, service: str, priority: Priority) -> float:
+        return self._hold_seconds.get((service, priority), _START_HOLD_SECONDS)
 
 
 def _read_rates(
--- a/src/monsoonwall/pipeline/retrying.py
+++ b/src/monsoonwall/pipeline/retrying.py
@@ -12,7 +12,6 @@
     RetryVerdict,
     plan_retry,
 )
-from monsoonwall.decisions.suspects import Suspicion
 from monsoonwall.metrics import RETRY_VERDICTS
 from monsoonwall.pipeline.messages import (
     AttemptEnding,
@@ -27,7 +26,7 @@
 from monsoonwall.pipeline.stages import Observer, RetryRule
 
 # A suspect waits until its server was probed and peers had time to tell.
-_PROBE_SECONDS: Final = 1.2
+_PROBE_SECONDS: Final = 2.0
 _RETRY_AFTER_SECONDS: Final = 2.0
 _REASONS: Final = MappingProxyType(
     {
@@ -80,10 +79,10 @@
     def _await_probe(
         self, call: Call, failure: AttemptFailure, now: float
     ) -> float:
-        if failure.ending is not AttemptEnding.crashed:
-            return now
-        suspicion = self._screening.judge(call.content_key)
-        return now if suspicion is Suspicion.none else now + _PROBE_SECONDS
+        apart = self._screening.broke_apart(call.content_key)
+        if failure.ending is AttemptEnding.crashed and apart:
+            return now + _PROBE_SECONDS
+        return now
 
 
 def _refuse(
--- a/src/monsoonwall/pipeline/screening.py
+++ b/src/monsoonwall/pipeline/screening.py
@@ -1,9 +1,8 @@
 """Keep requests apart that may have crashed a backend server."""
 
 from asyncio import Queue
-from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 from msgspec import DecodeError, ValidationError, msgpack
 from returns.result import Failure, Result, Success
@@ -32,11 +31,9 @@
 from monsoonwall.pipeline.stages import Observer, Screening
 
 CRASH_KIND: Final = 'crash'
-ISOLATED_CRASH_KIND: Final = 'isolated_crash'
 CLEAR_KIND: Final = 'crash_cleared'
 _KINDS: Final = (
     (CRASH_KIND, CrashRecord),
-    (ISOLATED_CRASH_KIND, CrashRecord),
     (CLEAR_KIND, ClearRecord),
 )
 # A question without an answer lapses; probes end well before.
@@ -55,10 +52,13 @@
 
 
 class RecordTable:
-    """Follow the facts of one kind, without waiting for them."""
+    """Follow the facts of one kind, without waiting for them.
+
+    Records are found by content key, then by the rest of the fact's key.
+    """
 
     def __init__(self, board: Board, kind: str, record_type: type) -> None:
-        self.records: dict[str, CrashRecord | ClearRecord] = {}
+        self.records: dict[str, dict[str, Any]] = {}
         self._swept_wall: float = 0
         self._decoder = msgpack.Decoder(record_type)
         # Subscribed first, so that nothing falls between.
@@ -75,21 +75,22 @@
             self._sweep(now_wall - CONVICTION_SECONDS)
 
     def take(self, fact: Entry | Fact) -> None:
-        """Keep a record unless a later one of its content is known."""
+        """Keep a record unless a later one for its place is known."""
         try:
             record = self._decoder.decode(fact.payload)
         except (DecodeError, ValidationError) as error:
             _log.error('Crash record is damaged.', error=str(error))
             return
-        known = self.records.get(fact.key)
+        places = self.records.setdefault(record.content_key, {})
+        known = places.get(fact.key)
         if known is None or _read_order(record) > _read_order(known):
-            self.records[fact.key] = record
+            places[fact.key] = record
 
     def _sweep(self, before_wall: float) -> None:
         self.records = {
-            key: record
-            for key, record in self.records.items()
-            if _read_order(record) > before_wall
+            content_key: places
+            for content_key, places in self.records.items()
+            if max(map(_read_order, places.values())) > before_wall
         }
 
 
@@ -125,10 +126,10 @@
 
     def refuse(self, call: Call, effect: Effect) -> Refusal:
         """Return the refusal of a convicted call."""
-        table = self._tables[ISOLATED_CRASH_KIND].records
-        record = table.get(call.content_key)
-        crashed_wall = getattr(record, 'crashed_wall', 0)
-        remaining = crashed_wall + CONVICTION_SECONDS - self._clock.read_wall()
+        places = self._tables[CRASH_KIND].records.get(call.content_key, {})
+        now_wall = self._clock.read_wall()
+        crashed_wall = max(map(_read_order, places.values()), default=now_wall)
+        remaining = crashed_wall + CONVICTION_SECONDS - now_wall
         return Refusal(
             RefusalReason.crashing_request,
             effect,
@@ -161,9 +162,12 @@
             self._pending.pop(record.content_key)
         if not crashed:
             return
-        kind = ISOLATED_CRASH_KIND if record.isolated else CRASH_KIND
-        keep = CONVICTION_SECONDS if record.isolated else SUSPICION_SECONDS
-        self._publish(kind, record.content_key, record, keep)
+        self._publish(
+            CRASH_KIND,
+            f'{record.content_key}/{record.server}',
+            record,
+            CONVICTION_SECONDS,
+        )
         _log.warning(
             'Backend server crashed under a request.',
             server=record.server,
@@ -171,6 +175,11 @@
             isolated=record.isolated,
         )
 
+    def broke_apart(self, content_key: str) -> bool:
+        """Tell whether a suspect's attempt broke and is looked into."""
+        question = self._pending.get(content_key)
+        return question is not None and question.record.isolated
+
     def _ask(
         self, record: AttemptRecord, started_wall: float, now: float
     ) -> None:
@@ -200,9 +209,7 @@
         for table in self._tables.values():
             table.refresh(now_wall)
         return Findings(
-            _view(self._tables[CRASH_KIND]),
-            _view(self._tables[ISOLATED_CRASH_KIND]),
-            _view(self._tables[CLEAR_KIND]),
+            self._tables[CRASH_KIND].records, self._tables[CLEAR_KIND].records
         )
 
     def _publish(
@@ -219,10 +226,6 @@
         self._board.publish_fact(fact)
 
 
-def _view(table: RecordTable) -> Mapping[str, object]:
-    return table.records
-
-
 def _read_order(record: CrashRecord | ClearRecord) -> float:
     if isinstance(record, CrashRecord):
         return record.crashed_wall
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -110,7 +110,7 @@
         verdicts = []
         for workspace, urgent in arrivals:
             slots = ServiceSlots(
-                capacity, 1, batch, held, wanted, weighed or {}
+                capacity, 1, batch, 0, held, wanted, weighed or {}
             )
             verdict = decide_entry(slots, workspace, urgent)
             verdicts.append(verdict)
@@ -122,7 +122,7 @@
     def test_batch_work_leaves_room_for_questions(self):
         held, verdicts = self.fill(repeat_calls(500, ('depot', False)))
         self.assertIs(verdicts[-1], EntryVerdict.full)
-        slots = ServiceSlots(40, 1, sum(held.values()), held, {}, {})
+        slots = ServiceSlots(40, 1, sum(held.values()), 0, held, {}, {})
         self.assertIs(decide_entry(slots, 'depot', True), EntryVerdict.admitted)
 
     def test_small_workspaces_get_in_beside_a_large_one(self):
--- a/tests/decisions/test_suspects.py
+++ b/tests/decisions/test_suspects.py
@@ -23,13 +23,15 @@
 class Host:
     """Hold the records that have reached one entry host."""
 
-    findings: Findings = field(default_factory=lambda: Findings({}, {}, {}))
+    findings: Findings = field(default_factory=lambda: Findings({}, {}))
 
     def take(self, kind, record):
         table = getattr(self.findings, kind)
-        known = table.get(record.content_key)
+        places = table.setdefault(record.content_key, {})
+        place = getattr(record, 'server', '')
+        known = places.get(place)
         if known is None or read_order(record) > read_order(known):
-            table[record.content_key] = record
+            places[place] = record
 
 
 def read_order(record):
@@ -83,7 +85,7 @@
             self.lost[culprits[0].content] += 1
         for run in runs:
             if culprits:
-                kind = 'isolated_crashes' if run.isolated else 'crashes'
+                kind = 'crashes'
                 record = CrashRecord(
                     self.now, run.started, server, run.content, run.isolated
                 )
@@ -125,10 +127,26 @@
         self.assertLessEqual(fleet.lost['poison'], 2)
         self.assertEqual(set(fleet.refused) - {'poison'}, set())
 
+    def test_host_that_had_not_heard_is_covered(self):
+        host = Host()
+        for record in (
+            CrashRecord(10, 5, 's1', 'poison', False),
+            CrashRecord(10, 4, 's1', 'draft', False),
+            CrashRecord(12, 11, 's2', 'draft', True),
+            CrashRecord(12, 11.5, 's2', 'poison', False),
+        ):
+            host.take('crashes', record)
+        self.assertIs(
+            judge_content(host.findings, 'draft', 13), Suspicion.suspect
+        )
+        self.assertIs(
+            judge_content(host.findings, 'poison', 13), Suspicion.convicted
+        )
+
     def test_order_of_records_does_not_matter(self):
         records = [
             ('crashes', CrashRecord(10, 5, 's1', 'a', False)),
-            ('isolated_crashes', CrashRecord(20, 15, 's2', 'a', True)),
+            ('crashes', CrashRecord(20, 15, 's2', 'a', True)),
             ('clears', ClearRecord(12, 'a')),
         ]
         for turned in (records, list(reversed(records))):
@@ -142,7 +160,7 @@
         host = Host()
         for content, started in (('draft', 5), ('poison', 19)):
             host.take(
-                'isolated_crashes',
+                'crashes',
                 CrashRecord(20, started, 's1', content, True),
             )
         self.assertIs(
@@ -157,7 +175,7 @@
         for number in range(5):
             content = f'draft-{number}'
             host.take(
-                'isolated_crashes',
+                'crashes',
                 CrashRecord(20, 5, f's{number}', content, True),
             )
         for number in range(5):
@@ -166,7 +184,7 @@
 
     def test_judgements_lapse(self):
         host = Host()
-        host.take('isolated_crashes', CrashRecord(20, 5, 's1', 'a', True))
+        host.take('crashes', CrashRecord(20, 5, 's1', 'a', True))
         host.take('crashes', CrashRecord(20, 5, 's1', 'b', False))
         later = 20 + CONVICTION_SECONDS
         self.assertIs(judge_content(host.findings, 'a', later), Suspicion.none)
--- /dev/null
+++ b/tests/entry/test_leaving_servers.py
@@ -0,0 +1,60 @@
+"""Give backend servers notice, or freeze them, and see who still uses them."""
+
+import signal
+import time
+import unittest
+
+from tests.standins.deployment import Deployment, start_small
+
+ENTRIES = 3
+# The goal: no new work so many seconds after a notice reached any host.
+NOTICE_SECONDS = 3
+# A frozen engine is noticed by polls, which the hosts then tell each other.
+FREEZE_SECONDS = 5
+
+
+class LeavingServersTest(unittest.TestCase):
+    """Run a small fleet and take one engine out of it."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.deployment = cls.enterClassContext(Deployment())
+        start_small(cls.deployment, 3, 0, ENTRIES)
+
+    def ask(self, number):
+        return self.deployment.send(
+            f'entry-{number % ENTRIES}',
+            'POST',
+            '/v1/completions',
+            {
+                'model': 'hotline',
+                'prompt': f'question {number} {time.monotonic()}',
+                'max_tokens': 3,
+            },
+        )
+
+    def count_executed(self, name):
+        return len(
+            self.deployment.send(name, 'GET', '/control').read_json()[
+                'executed'
+            ]
+        )
+
+    def test_leaving_engine_gets_no_new_work(self):
+        self.deployment.control('engine-0', leaving=True)
+        time.sleep(NOTICE_SECONDS)
+        before = self.count_executed('engine-0')
+        replies = [self.ask(number) for number in range(30)]
+        self.assertEqual({reply.status for reply in replies}, {200})
+        self.assertEqual(self.count_executed('engine-0'), before)
+
+    def test_engine_without_answers_gets_no_new_work(self):
+        before = self.count_executed('engine-1')
+        self.deployment.signal('engine-1', signal.SIGSTOP)
+        time.sleep(FREEZE_SECONDS)
+        try:
+            replies = [self.ask(number) for number in range(12)]
+        finally:
+            self.deployment.signal('engine-1', signal.SIGCONT)
+        self.assertEqual({reply.status for reply in replies}, {200})
+        self.assertEqual(self.count_executed('engine-1'), before)
