--- a/src/monsoonwall/configuration/announcement.py
+++ b/src/monsoonwall/configuration/announcement.py
@@ -21,14 +21,15 @@
     decode_stored,
     digest_document,
     drop_patches,
-    encode_stored,
+    encode_plain,
 )
 from monsoonwall.findings import Finding
 
 MAX_WHOLE_BYTES: Final = 4_000
+_MAX_WORTH_COMPRESSING: Final = 100_000
 _MAX_TAIL_BYTES: Final = 4_000
 _MAX_ANNOUNCED_BYTES: Final = 100_000
-NUMBER_BYTES: Final = 8
+_NUMBER_BYTES: Final = 8
 
 
 @dataclass(frozen=True)
@@ -45,10 +46,12 @@
 
     It begins with the number, so that of two facts the newer one stands.
     """
-    head = stored.number.to_bytes(NUMBER_BYTES, 'big')
-    whole = zlib.compress(encode_stored(stored))
-    if len(whole) <= MAX_WHOLE_BYTES:
-        return b'%bW%b' % (head, whole)
+    head = stored.number.to_bytes(_NUMBER_BYTES, 'big')
+    content = encode_plain(stored)
+    if len(content) <= _MAX_WORTH_COMPRESSING:
+        whole = zlib.compress(content)
+        if len(whole) <= MAX_WHOLE_BYTES:
+            return b'%bW%b' % (head, whole)
     tail = [
         accepted
         for accepted in drop_patches(stored.recent, _MAX_TAIL_BYTES)
@@ -57,11 +60,16 @@
     return b'%bT%b' % (head, zlib.compress(json.encode(tail)))
 
 
+def read_number(payload: bytes) -> int:
+    """Return the number that a fact tells of."""
+    return int.from_bytes(payload[:_NUMBER_BYTES], 'big')
+
+
 def decode_announcement(payload: bytes) -> Result[Announcement, Finding]:
     """Return what a fact tells, or why it is unreadable."""
-    number = int.from_bytes(payload[:NUMBER_BYTES], 'big')
-    kind = payload[NUMBER_BYTES : NUMBER_BYTES + 1]
-    rest = payload[NUMBER_BYTES + 1 :]
+    number = read_number(payload)
+    kind = payload[_NUMBER_BYTES : _NUMBER_BYTES + 1]
+    rest = payload[_NUMBER_BYTES + 1 :]
     if kind == b'W':
         return Success(Announcement(number, rest, ()))
     try:
--- a/src/monsoonwall/configuration/enforcement.py
+++ b/src/monsoonwall/configuration/enforcement.py
@@ -1,12 +1,13 @@
 """Put configurations in force on one host, and say what they allow."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Final
 
 from monsoonwall.clocks import Clock
 from monsoonwall.configuration.announcement import (
-    NUMBER_BYTES,
     encode_announcement,
+    read_number,
 )
 from monsoonwall.configuration.keeper import ConfigurationKeeper, Intake
 from monsoonwall.configuration.model import Configuration
@@ -23,6 +24,8 @@
 )
 from monsoonwall.mesh.board import Board, Fact
 
+# Above this, taking an offer lasts longer than a token may wait.
+_INLINE_BYTES: Final = 100_000
 # The fact is replaced by the next one and must not go before.
 _FACT_SECONDS: Final = 31_536_000
 # Notes may overtake the announcement that tells of the same number.
@@ -50,6 +53,7 @@
         self._clock = clock
         self._adopt = adopt
         self._answered = False
+        self._taking = asyncio.Lock()
         self._started = clock.read_monotonic()
         self._level_at = self._started
 
@@ -57,8 +61,24 @@
         """Return whether this host may do a kind of work now."""
         return may_work(self.currency, work, self._clock.read_wall())
 
-    def settle(self, intake: Intake) -> None:
-        """Follow up an offer that the keeper has taken."""
+    async def take(
+        self, offer: Callable[[], Intake | None], size: int
+    ) -> Intake | None:
+        """Let the keeper take an offer of some bytes, and follow it up.
+
+        One at a time; a large one in a thread, so that requests go on.
+        """
+        async with self._taking:
+            held = self.keeper.read_content() or b''
+            if max(size, len(held)) <= _INLINE_BYTES:
+                intake = offer()
+            else:
+                intake = await asyncio.to_thread(offer)
+            if intake is not None:
+                self._settle(intake)
+        return intake
+
+    def _settle(self, intake: Intake) -> None:
         if intake.superseded:
             self.hear(intake.number)
         if intake.adopted:
@@ -121,17 +141,18 @@
         return may_begin(view, self._clock.read_monotonic())
 
     def _announce(self) -> None:
-        stored = self.keeper.read_held()
-        if stored is None:
-            return
-        payload = encode_announcement(stored)
         known = max(
-            (fact.payload for fact in self._board.read_facts(ANNOUNCED)),
-            default=b'',
+            (
+                read_number(fact.payload)
+                for fact in self._board.read_facts(ANNOUNCED)
+            ),
+            default=0,
         )
+        stored = self.keeper.read_held()
         # Hosts may word the same number differently; one wording is enough.
-        if known[:NUMBER_BYTES] >= payload[:NUMBER_BYTES]:
+        if stored is None or known >= stored.number:
             return
+        payload = encode_announcement(stored)
         expires_wall = self._clock.read_wall() + _FACT_SECONDS
         self._board.publish_fact(
             Fact(ANNOUNCED, CURRENT_KEY, payload, expires_wall)
--- a/src/monsoonwall/configuration/keeper.py
+++ b/src/monsoonwall/configuration/keeper.py
@@ -16,7 +16,7 @@
     StoredConfiguration,
     decode_stored,
     digest_document,
-    encode_stored,
+    encode_plain,
 )
 from monsoonwall.decisions.adoption import Adoption, Numbered, Verdict
 from monsoonwall.findings import Finding, format_findings
@@ -121,7 +121,7 @@
                 stored.number, adopted=False, superseded=stored.is_sealed()
             )
         self._adoption.adopt(offer)
-        self._content = encode_stored(stored)
+        self._content = encode_plain(stored)
         self.configuration = checked.unwrap()
         self.problems = ()
         _log.info('Configuration adopted.', number=stored.number, source=source)
--- a/src/monsoonwall/configuration/references.py
+++ b/src/monsoonwall/configuration/references.py
@@ -4,6 +4,7 @@
 from itertools import chain
 
 from monsoonwall.configuration.model import (
+    BackendServer,
     Configuration,
     Route,
     ServiceKind,
@@ -68,14 +69,15 @@
 
 
 def _check_prefixes(configuration: Configuration) -> Iterator[Finding]:
-    yield from _find_repeated(
-        (
-            (make_place('routes', name, 'path_prefix'), _identify(route))
-            for name, route in configuration.routes.items()
-            if route.path_prefix
-        ),
-        'another route has the same service, method and prefix',
-    )
+    for name in _find_repeated(
+        (name, f'{route.service} {route.method} {route.path_prefix}')
+        for name, route in configuration.routes.items()
+        if route.path_prefix
+    ):
+        yield Finding(
+            make_place('routes', name, 'path_prefix'),
+            'another route has the same service, method and prefix',
+        )
 
 
 def _check_model_route(place: str, route: Route) -> Iterator[Finding]:
@@ -90,50 +92,61 @@
 
 
 def _check_workspaces(configuration: Configuration) -> Iterator[Finding]:
-    yield from _find_repeated(
-        (
-            (
-                make_place('workspaces', name, 'api_key_sha256'),
-                workspace.api_key_sha256,
-            )
-            for name, workspace in configuration.workspaces.items()
-        ),
-        'another workspace has the same key; give each its own',
-    )
+    for name in _find_repeated(
+        (name, workspace.api_key_sha256)
+        for name, workspace in configuration.workspaces.items()
+    ):
+        yield Finding(
+            make_place('workspaces', name, 'api_key_sha256'),
+            'another workspace has the same key; give each its own',
+        )
 
 
 def _check_servers(configuration: Configuration) -> Iterator[Finding]:
+    services = configuration.services
     for name, server in configuration.backend_servers.items():
-        place = make_place('backend_servers', name)
-        service = configuration.services.get(server.service)
-        if service is None:
-            yield report_service(place, configuration, server.service)
-        elif server.version not in service.versions:
-            yield report_version(f'{place}/version', service, server.version)
-        if not server.address:
-            yield Finding(f'{place}/address', 'is empty; write host:port')
-        yield from check_address(f'{place}/address', server.address)
+        service = services.get(server.service)
+        faults = check_address('address', server.address)
+        if (
+            service is None
+            or server.version not in service.versions
+            or not server.address
+            or faults
+        ):
+            # Places are made for the few that need them: there are many
+            # servers, and each host checks them at each change.
+            yield from _report_server(configuration, name, server)
+
+
+def _report_server(
+    configuration: Configuration, name: str, server: BackendServer
+) -> Iterator[Finding]:
+    place = make_place('backend_servers', name)
+    service = configuration.services.get(server.service)
+    if service is None:
+        yield report_service(place, configuration, server.service)
+    elif server.version not in service.versions:
+        yield report_version(f'{place}/version', service, server.version)
+    if not server.address:
+        yield Finding(f'{place}/address', 'is empty; write host:port')
+    yield from check_address(f'{place}/address', server.address)
 
 
 def _check_addresses(configuration: Configuration) -> Iterator[Finding]:
-    yield from _find_repeated(
-        (
-            (make_place('backend_servers', name, 'address'), server.address)
-            for name, server in configuration.backend_servers.items()
-        ),
-        'another backend server has the same address',
-    )
-
-
-def _identify(route: Route) -> str:
-    return f'{route.service} {route.method} {route.path_prefix}'
+    for name in _find_repeated(
+        (name, server.address)
+        for name, server in configuration.backend_servers.items()
+    ):
+        yield Finding(
+            make_place('backend_servers', name, 'address'),
+            'another backend server has the same address',
+        )
 
 
-def _find_repeated(
-    places: Iterable[tuple[str, str]], reason: str
-) -> Iterator[Finding]:
+def _find_repeated(identities: Iterable[tuple[str, str]]) -> Iterator[str]:
+    """Return the names whose identity an earlier one has too."""
     seen: set[str] = set()
-    for place, identity in places:
+    for name, identity in identities:
         if identity in seen:
-            yield Finding(place, reason)
+            yield name
         seen.add(identity)
--- a/src/monsoonwall/configuration/stored.py
+++ b/src/monsoonwall/configuration/stored.py
@@ -105,15 +105,20 @@
     return tuple(reversed(kept))
 
 
-def encode_stored(stored: StoredConfiguration) -> bytes:
-    """Return the object's content."""
-    content = json.encode(
+def encode_plain(stored: StoredConfiguration) -> bytes:
+    """Return the object's content without compression."""
+    return json.encode(
         {
             'number': stored.number,
             'recent': stored.recent,
             **stored.document,
         }
     )
+
+
+def encode_stored(stored: StoredConfiguration) -> bytes:
+    """Return the object's content."""
+    content = encode_plain(stored)
     return content if len(content) <= _PLAIN_BYTES else zlib.compress(content)
 
 
--- a/src/monsoonwall/entry/configuring.py
+++ b/src/monsoonwall/entry/configuring.py
@@ -82,7 +82,7 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         for fact in self._board.read_facts(ANNOUNCED):
-            self._take_fact(fact)
+            await self._take_fact(fact)
         while True:
             try:
                 await self._follow()
@@ -133,7 +133,9 @@
         if outcome.stored is not None:
             self._version = max(self._version, outcome.version)
             keeper = self._force.keeper
-            self._force.settle(keeper.take_stored(outcome.stored))
+            await self._force.take(
+                lambda: keeper.take_stored(outcome.stored), 0
+            )
         return outcome
 
     async def _follow(self) -> None:
@@ -161,7 +163,7 @@
             CallReason.configuration,
         )
         if is_successful(found):
-            return self._take_object(found.unwrap(), begun_wall)
+            return await self._take_object(found.unwrap(), begun_wall)
         if found.failure() is not StoreFailure.missing:
             return False
         self._force.hear_platform()
@@ -176,16 +178,19 @@
         until = self._backoff.fail(now, random.random())
         await asyncio.sleep(until - now)
 
-    def _take_object(self, found: StoredObject, begun_wall: float) -> bool:
+    async def _take_object(
+        self, found: StoredObject, begun_wall: float
+    ) -> bool:
         """Take the platform's object; return whether it was no stale one."""
         if found.version < self._version:
             return False
         self._version = found.version
         keeper = self._force.keeper
-        intake = keeper.take_object(found.content)
-        self._force.settle(intake)
+        intake = await self._force.take(
+            lambda: keeper.take_object(found.content), len(found.content)
+        )
         self._force.hear_platform()
-        if not intake.superseded:
+        if intake is not None and not intake.superseded:
             self._force.confirm(keeper.held.number, begun_wall)
         return True
 
@@ -193,14 +198,15 @@
         while True:
             record = await self._announced.get()
             if isinstance(record, Fact):
-                self._take_fact(record)
+                await self._take_fact(record)
 
-    def _take_fact(self, fact: Fact) -> None:
-        intake = self._force.keeper.take_announcement(fact.payload)
+    async def _take_fact(self, fact: Fact) -> None:
+        intake = await self._force.take(
+            lambda: self._force.keeper.take_announcement(fact.payload),
+            len(fact.payload),
+        )
         if intake is None:
             self._behind.set()
-        else:
-            self._force.settle(intake)
 
     async def _follow_notes(self) -> None:
         while True:
@@ -221,7 +227,7 @@
                 CONFIGURATION_KEY, CallReason.configuration
             )
             if is_successful(found):
-                self._take_object(found.unwrap(), begun_wall)
+                await self._take_object(found.unwrap(), begun_wall)
             known = self._force.currency.known
             await self._pause(self._force.keeper.held.number >= known)
 
