--- /dev/null
+++ b/src/monsoonwall/configuration/following.py
@@ -0,0 +1,91 @@
+"""Follow the configuration's object on the platform."""
+
+import asyncio
+import random
+from typing import Final
+
+from returns.pipeline import is_successful
+
+from monsoonwall.clocks import Clock
+from monsoonwall.configuration.document import CONFIGURATION_KEY
+from monsoonwall.configuration.enforcement import Enforcement
+from monsoonwall.decisions.budget import Backoff
+from monsoonwall.platform.objects import (
+    CallReason,
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+)
+
+# A watch that ends without news confirms what is in force, so it must be a
+# good deal shorter than the currency deadline.
+_WATCH_SECONDS: Final = 2.0
+_FIRST_RETRY_SECONDS: Final = 0.2
+_MOST_RETRY_SECONDS: Final = 3.0
+
+
+class PlatformFollower:
+    """Watch and read the object, and let the enforcement take it."""
+
+    def __init__(
+        self, store: ObjectStore, force: Enforcement, clock: Clock
+    ) -> None:
+        self._store = store
+        self._force = force
+        self._clock = clock
+        self._backoff = Backoff(_FIRST_RETRY_SECONDS, _MOST_RETRY_SECONDS)
+        self._version = 0
+
+    async def watch(self) -> None:
+        """Wait for news, and for longer while the platform gives none."""
+        begun_wall = self._clock.read_wall()
+        found = await self._store.watch(
+            CONFIGURATION_KEY,
+            self._version,
+            self._clock.read_monotonic() + _WATCH_SECONDS,
+            CallReason.configuration,
+        )
+        if is_successful(found):
+            await self.pause(await self._take(found.unwrap(), begun_wall))
+            return
+        unchanged = found.failure() is StoreFailure.missing
+        if unchanged:
+            self._force.hear_platform()
+            self._force.confirm(self._force.keeper.held.number, begun_wall)
+        await self.pause(unchanged)
+
+    async def read(self) -> None:
+        """Read the object once."""
+        begun_wall = self._clock.read_wall()
+        found = await self._store.read(
+            CONFIGURATION_KEY, CallReason.configuration
+        )
+        if is_successful(found):
+            await self._take(found.unwrap(), begun_wall)
+
+    async def pause(self, useful: bool) -> None:
+        """Wait before the next call if the last one was of no use."""
+        if useful:
+            self._backoff.succeed()
+            return
+        now = self._clock.read_monotonic()
+        until = self._backoff.fail(now, random.random())
+        await asyncio.sleep(until - now)
+
+    def note_version(self, version: int) -> None:
+        """Note the version of the object that this host wrote."""
+        self._version = max(self._version, version)
+
+    async def _take(self, found: StoredObject, begun_wall: float) -> bool:
+        """Return whether the object was no stale one."""
+        if found.version < self._version:
+            return False
+        self._version = found.version
+        keeper = self._force.keeper
+        intake = await self._force.take(
+            lambda: keeper.take_object(found.content), len(found.content)
+        )
+        self._force.hear_platform()
+        if intake is not None and not intake.superseded:
+            self._force.confirm(keeper.held.number, begun_wall)
+        return True
--- a/src/monsoonwall/configuration/submission.py
+++ b/src/monsoonwall/configuration/submission.py
@@ -1,7 +1,7 @@
 """Submit an operator's patch against a numbered configuration."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from returns.pipeline import is_successful
@@ -36,7 +36,9 @@
     encode_stored,
     extend_stored,
 )
+from monsoonwall.decisions.currency import settle_time
 from monsoonwall.findings import Finding
+from monsoonwall.metrics import PATCHES
 from monsoonwall.platform.objects import (
     MAX_OBJECT_BYTES,
     ObjectStore,
@@ -78,6 +80,16 @@
         ``held``, what this host has in force, stands in for an object that
         someone removed or overwrote with an unreadable one.
         """
+        outcome = await self._submit(request, held)
+        if outcome.ending is PatchEnding.accepted:
+            settled_wall = settle_time(self._clock.read_wall())
+            outcome = replace(outcome, settled_wall=settled_wall)
+        PATCHES.labels(outcome.ending).inc()
+        return outcome
+
+    async def _submit(
+        self, request: PatchRequest, held: StoredConfiguration | None
+    ) -> PatchOutcome:
         current = await self._record.read(request.base, held)
         if not is_successful(current):
             number = held.number if held else 0
--- a/src/monsoonwall/entry/configuring.py
+++ b/src/monsoonwall/entry/configuring.py
@@ -3,37 +3,27 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Final
 
-from returns.pipeline import is_successful
-
 from monsoonwall.clocks import Clock
-from monsoonwall.configuration.document import CONFIGURATION_KEY
 from monsoonwall.configuration.enforcement import Enforcement
+from monsoonwall.configuration.following import PlatformFollower
+from monsoonwall.configuration.keeper import Source
 from monsoonwall.configuration.model import Configuration
 from monsoonwall.configuration.neighbours import HostIdentity, Neighbours
 from monsoonwall.configuration.notes import ANNOUNCED, HeldNote
-from monsoonwall.configuration.outcomes import PatchEnding, PatchOutcome
+from monsoonwall.configuration.outcomes import PatchOutcome
+from monsoonwall.configuration.peering import PeerDocuments
 from monsoonwall.configuration.submission import PatchDesk, PatchRequest
-from monsoonwall.decisions.budget import Backoff
-from monsoonwall.decisions.currency import Work, settle_time
+from monsoonwall.decisions.currency import Work
+from monsoonwall.entry.meshing import Mesh
 from monsoonwall.logs import make_logger
-from monsoonwall.mesh.board import Board, Fact
-from monsoonwall.metrics import PATCHES
-from monsoonwall.platform.objects import (
-    CallReason,
-    ObjectStore,
-    StoredObject,
-    StoreFailure,
-)
-
-# A watch that ends without news confirms what is in force, so it must be a
-# good deal shorter than the currency deadline.
-_WATCH_SECONDS: Final = 2.0
+from monsoonwall.mesh.board import Fact
+from monsoonwall.platform.objects import ObjectStore
+
 _TICK_SECONDS: Final = 0.1
-_FIRST_RETRY_SECONDS: Final = 0.2
-_MOST_RETRY_SECONDS: Final = 3.0
+_DEFECT_PAUSE_SECONDS: Final = 3.0
 # Whole reads of all hosts together, per second, after an announcement that
 # was not enough.
 _READS_PER_SECOND: Final = 500
@@ -62,22 +52,23 @@
         self,
         identity: HostIdentity,
         store: ObjectStore,
-        board: Board,
+        mesh: Mesh,
         clock: Clock,
         adopt: Callable[[Configuration], None],
     ) -> None:
-        self._store = store
+        board = mesh.board
         self._board = board
+        self.documents = PeerDocuments(mesh.peers)
         self._clock = clock
         self._desk = PatchDesk(store, clock)
-        self._backoff = Backoff(_FIRST_RETRY_SECONDS, _MOST_RETRY_SECONDS)
         self._neighbours = Neighbours(identity, board, clock.read_monotonic())
         self._force = Enforcement(
             identity, self._neighbours, board, clock, adopt
         )
+        self._follower = PlatformFollower(store, self._force, clock)
+        self.documents.offer(self._force.keeper.read_held)
         self._announced = board.subscribe(ANNOUNCED)
         self._behind = asyncio.Event()
-        self._version = 0
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -89,7 +80,7 @@
             except Exception as error:
                 # A host that follows no more would fall behind in silence.
                 _log.opt(exception=error).error('Following ended by a defect.')
-            await asyncio.sleep(_MOST_RETRY_SECONDS)
+            await asyncio.sleep(_DEFECT_PAUSE_SECONDS)
 
     def may_work(self, work: Work) -> bool:
         """Return whether this host may do a kind of work now."""
@@ -120,10 +111,6 @@
             # An older configuration must not stand in for a lost newer one.
             held = None
         outcome = await self._desk.submit(request, held)
-        if outcome.ending is PatchEnding.accepted:
-            settled_wall = settle_time(self._clock.read_wall())
-            outcome = replace(outcome, settled_wall=settled_wall)
-        PATCHES.labels(outcome.ending).inc()
         _log.info(
             'Patch submitted.',
             patch_id=request.patch_id,
@@ -131,7 +118,7 @@
             number=outcome.number,
         )
         if outcome.stored is not None:
-            self._version = max(self._version, outcome.version)
+            self._follower.note_version(outcome.version)
             keeper = self._force.keeper
             await self._force.take(
                 lambda: keeper.take_stored(outcome.stored), 0
@@ -151,48 +138,7 @@
             if self._force.serving and not self._neighbours.watching:
                 await asyncio.sleep(_TICK_SECONDS)
             else:
-                await self._pause(await self._watch_once())
-
-    async def _watch_once(self) -> bool:
-        """Wait for news; return whether the platform gave a usable answer."""
-        begun_wall = self._clock.read_wall()
-        found = await self._store.watch(
-            CONFIGURATION_KEY,
-            self._version,
-            self._clock.read_monotonic() + _WATCH_SECONDS,
-            CallReason.configuration,
-        )
-        if is_successful(found):
-            return await self._take_object(found.unwrap(), begun_wall)
-        if found.failure() is not StoreFailure.missing:
-            return False
-        self._force.hear_platform()
-        self._force.confirm(self._force.keeper.held.number, begun_wall)
-        return True
-
-    async def _pause(self, useful: bool) -> None:
-        if useful:
-            self._backoff.succeed()
-            return
-        now = self._clock.read_monotonic()
-        until = self._backoff.fail(now, random.random())
-        await asyncio.sleep(until - now)
-
-    async def _take_object(
-        self, found: StoredObject, begun_wall: float
-    ) -> bool:
-        """Take the platform's object; return whether it was no stale one."""
-        if found.version < self._version:
-            return False
-        self._version = found.version
-        keeper = self._force.keeper
-        intake = await self._force.take(
-            lambda: keeper.take_object(found.content), len(found.content)
-        )
-        self._force.hear_platform()
-        if intake is not None and not intake.superseded:
-            self._force.confirm(keeper.held.number, begun_wall)
-        return True
+                await self._follower.watch()
 
     async def _follow_announcements(self) -> None:
         while True:
@@ -222,14 +168,21 @@
             spread = self._neighbours.count / _READS_PER_SECOND
             await asyncio.sleep(random.uniform(0, spread))
             self._behind.clear()
-            begun_wall = self._clock.read_wall()
-            found = await self._store.read(
-                CONFIGURATION_KEY, CallReason.configuration
+            await self._read_from_peer()
+            if self._is_behind():
+                await self._follower.read()
+            await self._follower.pause(not self._is_behind())
+
+    def _is_behind(self) -> bool:
+        return self._force.keeper.held.number < self._force.currency.known
+
+    async def _read_from_peer(self) -> None:
+        keeper = self._force.keeper
+        content = await self.documents.read(keeper.held.number + 1)
+        if content is not None:
+            await self._force.take(
+                lambda: keeper.take_object(content, Source.mesh), len(content)
             )
-            if is_successful(found):
-                await self._take_object(found.unwrap(), begun_wall)
-            known = self._force.currency.known
-            await self._pause(self._force.keeper.held.number >= known)
 
     async def _tick(self) -> None:
         while True:
--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -41,7 +41,7 @@
         self._stopping = asyncio.Event()
         self._mesh = Mesh(settings, clock)
         self._operating = Operating(
-            settings, self._state, self._mesh.board, clock, self.adopt
+            settings, self._state, self._mesh, clock, self.adopt
         )
         self._claims = Claims(
             settings.host_name,
@@ -83,6 +83,7 @@
             (
                 self._claims.registrar,
                 self._copying.register,
+                self._operating.configuring.documents.register,
             )
         )
         server = self._listen()
--- a/src/monsoonwall/entry/operating.py
+++ b/src/monsoonwall/entry/operating.py
@@ -11,10 +11,10 @@
 from monsoonwall.configuration.neighbours import HostIdentity
 from monsoonwall.entry.admin import make_admin_routes
 from monsoonwall.entry.configuring import ConfigurationTask
+from monsoonwall.entry.meshing import Mesh
 from monsoonwall.entry.reporting import Reports
 from monsoonwall.entry.routes import RouteExplainer
 from monsoonwall.entry.state import HostState
-from monsoonwall.mesh.board import Board
 from monsoonwall.pipeline.stages import Admission
 from monsoonwall.platform.budgeted import BudgetedObjectStore, CallRates
 from monsoonwall.platform.http_objects import HttpObjectStore
@@ -31,7 +31,7 @@
         self,
         settings: EntrySettings,
         state: HostState,
-        board: Board,
+        mesh: Mesh,
         clock: Clock,
         adopt: Callable[[Configuration], None],
     ) -> None:
@@ -50,7 +50,7 @@
             settings.host_name, settings.zone, bool(settings.peers)
         )
         self.configuring = ConfigurationTask(
-            identity, self.store, board, clock, adopt
+            identity, self.store, mesh, clock, adopt
         )
         self.reports = Reports()
         self.reports.add_reporter('configuration', self.configuring.describe)
--- a/tests/entry/test_configuration_processes.py
+++ b/tests/entry/test_configuration_processes.py
@@ -5,6 +5,7 @@
 import unittest
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
+from hashlib import sha256
 
 from tests.standins.deployment import Deployment, start_small, wait_until
 
@@ -133,6 +134,26 @@
             wait_until(lambda: self.reserve('entry-3', 'after') is None)
         )
 
+    def test_large_configuration_in_an_outage(self):
+        # Keys do not compress, so this travels in no announcement.
+        many = {
+            f'depot-{index}': {
+                'api_key_sha256': sha256(str(index).encode()).hexdigest()
+            }
+            for index in range(400)
+        }
+        body = {
+            'base': self.base,
+            'patch_id': 'large',
+            'patch': {'workspaces': many},
+        }
+        self.deployment.send('entry-0', 'POST', '/admin/patch', body)
+        self.wait_number(self.base + 1, *HOSTS)
+        self.deployment.control('platform', outage=True)
+        self.restart('entry-3')
+        self.deployment.wait_ready('entry-3')
+        self.assertEqual(self.read_number('entry-3'), self.base + 1)
+
     def test_restart_behind_a_stale_read(self):
         for _ in range(2):
             self.patch_next()
