--- /dev/null
+++ b/src/monsoonwall/control/__init__.py
@@ -0,0 +1,1 @@
+"""Do work that one entry host should do at a time."""
--- /dev/null
+++ b/src/monsoonwall/control/keeper.py
@@ -0,0 +1,131 @@
+"""Keep one lease for this host in the platform's object API."""
+
+import asyncio
+from typing import Final
+from uuid import uuid4
+
+from msgspec import DecodeError, ValidationError, json
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from monsoonwall.clocks import Clock
+from monsoonwall.decisions.leases import (
+    LeaseRecord,
+    LeaseState,
+    LeaseTiming,
+    Read,
+    Term,
+    Wait,
+    Write,
+)
+from monsoonwall.logs import make_logger
+from monsoonwall.metrics import LEASES
+from monsoonwall.platform.objects import (
+    CallReason,
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+)
+
+_PREFIX: Final = 'leases/'
+# A write so refused certainly had no effect.
+_HARMLESS: Final = frozenset(
+    (StoreFailure.unavailable, StoreFailure.over_budget)
+)
+
+_log = make_logger('lease')
+
+
+class LeaseKeeper:
+    """Take, renew and release the lease of one shard."""
+
+    def __init__(
+        self,
+        shard: str,
+        holder: str,
+        store: ObjectStore,
+        clock: Clock,
+        timing: LeaseTiming,
+    ) -> None:
+        self.shard = shard
+        self._key = f'{_PREFIX}{shard}'
+        self._store = store
+        self._clock = clock
+        self._state = LeaseState(holder, timing)
+        self._held = False
+
+    async def run(self) -> None:
+        """Want the lease until cancelled."""
+        while True:
+            await self._step()
+            self._note_change()
+
+    def get_term(self) -> Term | None:
+        """Return the term if it allows an order right now."""
+        term = self._state.term
+        if term is None or not term.allows(self._clock.read_monotonic()):
+            return None
+        return term
+
+    async def release(self) -> None:
+        """Let a successor follow at once; no order may be under way."""
+        write = self._state.release()
+        if write is not None:
+            await self._write(write)
+            self._note_change()
+
+    async def _step(self) -> None:
+        now = self._clock.read_monotonic()
+        step = self._state.decide(now, self._clock.read_wall(), uuid4().hex)
+        if isinstance(step, Wait):
+            await asyncio.sleep(step.until - now)
+        elif isinstance(step, Read):
+            await self._read()
+        else:
+            await self._write(step)
+
+    async def _read(self) -> None:
+        found = await self._store.read(self._key, CallReason.lease)
+        now = self._clock.read_monotonic()
+        if is_successful(found):
+            stored = found.unwrap()
+            self._state.note_read(
+                stored.version, _decode_record(stored.content), now
+            )
+        elif found.failure() is StoreFailure.missing:
+            self._state.note_read(0, None, now)
+        else:
+            self._state.note_failed(now)
+
+    async def _write(self, write: Write) -> None:
+        self._state.note_sent(write, self._clock.read_monotonic())
+        written = await self._send(write)
+        now = self._clock.read_monotonic()
+        if is_successful(written):
+            self._state.note_written(written.unwrap().version, now)
+        elif written.failure() in _HARMLESS:
+            self._state.note_failed(now)
+        else:
+            self._state.note_doubt(now)
+
+    async def _send(self, write: Write) -> Result[StoredObject, StoreFailure]:
+        content = json.encode(write.record)
+        if write.version:
+            return await self._store.update(
+                self._key, content, write.version, CallReason.lease
+            )
+        return await self._store.create(self._key, content, CallReason.lease)
+
+    def _note_change(self) -> None:
+        held = self.get_term() is not None
+        if held is not self._held:
+            self._held = held
+            LEASES.labels('taken' if held else 'lost').inc()
+            _log.info('Lease taken.' if held else 'Lease lost.', of=self.shard)
+
+
+def _decode_record(content: bytes) -> LeaseRecord | None:
+    try:
+        return json.decode(content, type=LeaseRecord)
+    except (DecodeError, ValidationError):
+        return None
--- /dev/null
+++ b/src/monsoonwall/decisions/leases.py
@@ -0,0 +1,240 @@
+"""Decide when a host may take, renew and use a lease.
+
+A lease is one object of the platform, written only under the condition of
+its last version. No clock is compared with another host's: the holder counts
+its time from before it sent the write, and a successor from after it first
+read that write, so that the successor always waits longer.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from itertools import count
+from typing import Final
+
+from monsoonwall.decisions.gossip import rank
+
+_MILLISECONDS: Final = 1000
+_CANDIDATES: Final = 2
+
+
+@dataclass(frozen=True)
+class LeaseTiming:
+    """Hold the lengths, in seconds, that all hosts share.
+
+    The margin covers clocks that run at different speeds, and the order
+    time is how long an order may be under way.
+    """
+
+    lease_seconds: float = 12
+    margin_seconds: float = 1
+    order_seconds: float = 3
+    renew_seconds: float = 4
+    poll_seconds: float = 4
+
+    @property
+    def use_seconds(self) -> float:
+        """Return how long after sending a write its holder may order."""
+        return self.lease_seconds - self.margin_seconds
+
+    @property
+    def silence_seconds(self) -> float:
+        """Return how long a successor waits for the next write."""
+        return self.lease_seconds + self.order_seconds
+
+
+@dataclass(frozen=True)
+class LeaseRecord:
+    """Hold what the lease's object says.
+
+    ``token`` is the holder's own for this term and ``beat`` counts its
+    writes, so a holder that lost an answer knows its write again. A record
+    that is released may be followed at once.
+    """
+
+    holder: str
+    token: str
+    fencing_number: int
+    beat: int = 0
+    released: bool = False
+
+
+@dataclass(frozen=True)
+class Observation:
+    """Hold a record as read or written; None is a missing object."""
+
+    version: int
+    record: LeaseRecord | None
+    seen_at: float
+
+
+@dataclass(frozen=True)
+class Term:
+    """Hold the right to order until a deadline in monotonic seconds."""
+
+    fencing_number: int
+    deadline: float
+
+    def allows(self, now: float) -> bool:
+        """Tell whether an order may be sent at a time."""
+        return now < self.deadline
+
+
+@dataclass(frozen=True)
+class Read:
+    """Ask for the object."""
+
+
+@dataclass(frozen=True)
+class Write:
+    """Ask for a write; a ``version`` of zero creates the object."""
+
+    record: LeaseRecord
+    version: int
+
+
+@dataclass(frozen=True)
+class Wait:
+    """Ask to be left alone until a time in monotonic seconds."""
+
+    until: float
+
+
+Step = Read | Write | Wait
+
+
+@dataclass(frozen=True)
+class _Sent:
+    record: LeaseRecord
+    at: float
+
+
+class LeaseState:
+    """Follow one lease for one host that wants it."""
+
+    def __init__(self, holder: str, timing: LeaseTiming) -> None:
+        self._holder = holder
+        self._timing = timing
+        self._observed: Observation | None = None
+        self._beats = count()
+        self._last: _Sent | None = None
+        # Writes in doubt by token and beat: each may yet take effect.
+        self._sent: dict[tuple[str, int], _Sent] = {}
+        self._term: Term | None = None
+        self._own: LeaseRecord | None = None
+        self._renew_at = float('-inf')
+        self._read_at = float('-inf')
+
+    @property
+    def term(self) -> Term | None:
+        """Return the present term, even if its deadline has passed."""
+        return self._term
+
+    def decide(self, now: float, now_wall: float, token: str) -> Step:
+        """Return what to do; ``token`` is new and nobody else's."""
+        if self._observed is None:
+            return Read() if now >= self._read_at else Wait(self._read_at)
+        if self._own is not None:
+            return self._renew(now)
+        free = self._find_free_time(self._observed)
+        if now >= free:
+            return self._take(self._observed, now_wall, token)
+        if now >= self._read_at:
+            return Read()
+        return Wait(min(free, self._read_at))
+
+    def release(self) -> Write | None:
+        """Return the write that lets a successor follow at once.
+
+        Only to be called once no order is under way; none may follow.
+        """
+        if self._own is None or self._observed is None:
+            return None
+        record = replace(self._own, beat=next(self._beats), released=True)
+        # The right to order ends here, whether or not the write succeeds.
+        self._end()
+        return Write(record, self._observed.version)
+
+    def note_sent(self, write: Write, now: float) -> None:
+        """Remember a write before it is sent."""
+        sent = _Sent(write.record, now)
+        self._last = sent
+        self._sent[write.record.token, write.record.beat] = sent
+
+    def note_written(self, version: int, now: float) -> None:
+        """Take in that the write last sent has taken effect."""
+        if self._last is not None:
+            self._observed = Observation(version, self._last.record, now)
+            self._begin(self._last)
+
+    def note_doubt(self, now: float) -> None:
+        """Take in that a write was refused, or its answer lost."""
+        self._observed = None
+        self._read_at = now
+
+    def note_failed(self, now: float) -> None:
+        """Take in that the platform did nothing."""
+        self._read_at = now + self._timing.poll_seconds / 2
+        self._renew_at = self._read_at
+
+    def note_read(
+        self, version: int, record: LeaseRecord | None, now: float
+    ) -> None:
+        """Take in what a read that ended now has found."""
+        self._read_at = now + self._timing.poll_seconds
+        known = self._observed
+        if known is None or known.version != version:
+            self._observed = Observation(version, record, now)
+        sent = record and self._sent.get((record.token, record.beat))
+        if sent:
+            self._begin(sent)
+        elif not self._owns(record):
+            self._end()
+
+    def _owns(self, record: LeaseRecord | None) -> bool:
+        own = self._own
+        return bool(record and own and record.token == own.token)
+
+    def _begin(self, sent: _Sent) -> None:
+        # The others were on condition of the version before this one.
+        self._sent.clear()
+        if sent.record.released:
+            self._end()
+            return
+        self._own = sent.record
+        self._renew_at = sent.at + self._timing.renew_seconds
+        self._term = Term(
+            sent.record.fencing_number, sent.at + self._timing.use_seconds
+        )
+
+    def _end(self) -> None:
+        self._own = None
+        self._term = None
+
+    def _renew(self, now: float) -> Step:
+        if now < self._renew_at:
+            return Wait(self._renew_at)
+        record = replace(self._own, beat=next(self._beats))
+        return Write(record, self._observed.version)
+
+    def _find_free_time(self, observed: Observation) -> float:
+        if observed.record is None or observed.record.released:
+            return observed.seen_at
+        return observed.seen_at + self._timing.silence_seconds
+
+    def _take(
+        self, observed: Observation, now_wall: float, token: str
+    ) -> Write:
+        last = observed.record.fencing_number if observed.record else 0
+        # Counting from the wall clock lets a server change its shard and
+        # still find the new shard's numbers above those it has seen.
+        number = max(last + 1, int(now_wall * _MILLISECONDS))
+        return Write(
+            LeaseRecord(self._holder, token, number, next(self._beats)),
+            observed.version,
+        )
+
+
+def choose_candidates(shard: str, hosts: Iterable[str]) -> tuple[str, ...]:
+    """Return the hosts that want a shard's lease, so that few ask for it."""
+    ranked = sorted(hosts, key=lambda name: rank(f'{shard}/{name}', 0))
+    return tuple(ranked[:_CANDIDATES])
--- /dev/null
+++ b/src/monsoonwall/decisions/orders.py
@@ -0,0 +1,94 @@
+"""Decide which orders bring backend servers to their declared state.
+
+Orders say what a server is to hold rather than what to change, so giving one
+twice does no harm, and a state that a stale order has spoilt is found by the
+next look and mended.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from monsoonwall.backends.engine import EngineOrder, LoadReport, OrderKind
+from monsoonwall.configuration.model import (
+    BackendServer,
+    Configuration,
+    ServiceKind,
+)
+from monsoonwall.decisions.gossip import rank
+
+_SERVERS_PER_SHARD: Final = 64
+_ORDERS_AT_ONCE: Final = 4
+
+
+@dataclass(frozen=True)
+class Shard:
+    """Name the backend servers of a zone that one host gives orders to."""
+
+    zone: str
+    number: int
+    servers: tuple[str, ...]
+
+    @property
+    def name(self) -> str:
+        """Return the name that the shard's lease goes by."""
+        return f'orders/{self.zone}/{self.number}'
+
+
+@dataclass(frozen=True)
+class PlannedOrder:
+    """Hold an order for one server."""
+
+    server: str
+    order: EngineOrder
+
+
+def list_shards(configuration: Configuration, zone: str) -> tuple[Shard, ...]:
+    """Return a zone's model engines, split by the hash of their names."""
+    engines = [
+        name
+        for name, server in configuration.backend_servers.items()
+        if server.zone == zone
+        and configuration.services[server.service].kind is ServiceKind.model
+    ]
+    count = -(-len(engines) // _SERVERS_PER_SHARD)
+    members: list[list[str]] = [[] for _ in range(count)]
+    for name in sorted(engines):
+        members[rank(name, 0) % count].append(name)
+    return tuple(
+        Shard(zone, number, tuple(servers))
+        for number, servers in enumerate(members)
+    )
+
+
+def plan_orders(
+    configuration: Configuration,
+    shard: Shard,
+    reports: Mapping[str, LoadReport],
+    fencing_number: int,
+) -> tuple[PlannedOrder, ...]:
+    """Return the orders for servers that lack their declared version.
+
+    A server that reports nothing, or that is leaving, gets none. Few are
+    given at once, since servers that load share the weight store's rate.
+    """
+    lacking = [
+        PlannedOrder(
+            name,
+            EngineOrder(
+                OrderKind.load_version,
+                configuration.backend_servers[name].version,
+                fencing_number,
+            ),
+        )
+        for name in shard.servers
+        if name in configuration.backend_servers
+        and _lacks(reports.get(name), configuration.backend_servers[name])
+    ]
+    return tuple(lacking[:_ORDERS_AT_ONCE])
+
+
+def _lacks(report: LoadReport | None, server: BackendServer) -> bool:
+    if report is None or report.leaving:
+        return False
+    return server.version not in report.versions
--- /dev/null
+++ b/src/monsoonwall/entry/controlling.py
@@ -0,0 +1,110 @@
+"""Compose the control work of one entry host."""
+
+import asyncio
+from asyncio import Task
+from typing import Final
+
+from monsoonwall.backends.pool import BackendPool
+from monsoonwall.clocks import Clock
+from monsoonwall.configuration.model import Configuration
+from monsoonwall.control.keeper import LeaseKeeper
+from monsoonwall.control.orders import LOOK_SECONDS, OrderSender
+from monsoonwall.decisions.leases import LeaseTiming, choose_candidates
+from monsoonwall.decisions.orders import Shard, list_shards
+from monsoonwall.mesh.peers import Peers
+from monsoonwall.platform.objects import ObjectStore
+from monsoonwall.settings import EntrySettings
+
+_TIMING: Final = LeaseTiming()
+
+
+class _ShardWork:
+    """Want one shard's lease and work on it while it is held."""
+
+    def __init__(self, keeper: LeaseKeeper, sender: OrderSender) -> None:
+        self.keeper = keeper
+        self.sender = sender
+        self._keeping = asyncio.create_task(keeper.run())
+        self._looking: Task[None] | None = None
+
+    def look(self, configuration: Configuration, shard: Shard) -> None:
+        """Begin a look unless one is still going on."""
+        if self._looking is None or self._looking.done():
+            self._looking = asyncio.create_task(
+                self.sender.look(configuration, shard)
+            )
+
+    async def stop(self) -> None:
+        """End the look, then give the lease back."""
+        self._keeping.cancel()
+        if self._looking is not None:
+            await asyncio.wait((self._looking,))
+        await self.keeper.release()
+
+
+class Controlling:
+    """Own the shards that this host works on."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        store: ObjectStore,
+        peers: Peers,
+        pool: BackendPool,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._peers = peers
+        self._pool = pool
+        self._clock = clock
+        self._configuration: Configuration | None = None
+        self._works: dict[str, _ShardWork] = {}
+
+    def adopt(self, configuration: Configuration) -> None:
+        """Work by another configuration from now on."""
+        self._configuration = configuration
+
+    async def run(self) -> None:
+        """Look at the shards again and again until cancelled."""
+        while True:
+            if self._configuration is not None:
+                await self._look(self._configuration)
+            await asyncio.sleep(LOOK_SECONDS)
+
+    async def stop(self) -> None:
+        """Give all leases back."""
+        for name in tuple(self._works):
+            await self._works.pop(name).stop()
+
+    async def _look(self, configuration: Configuration) -> None:
+        zone = self._settings.zone
+        wanted = {
+            shard.name: shard
+            for shard in list_shards(configuration, zone)
+            if self._is_candidate(shard)
+        }
+        for name in set(self._works) - set(wanted):
+            await self._works.pop(name).stop()
+        for name, shard in wanted.items():
+            if name not in self._works:
+                self._works[name] = self._begin(name)
+            self._works[name].look(configuration, shard)
+
+    def _is_candidate(self, shard: Shard) -> bool:
+        own = self._settings.host_name
+        near = {
+            peer.name
+            for peer in self._peers.list_peers()
+            if peer.zone == self._settings.zone and not peer.leaving
+        }
+        return own in choose_candidates(shard.name, {own, *near})
+
+    def _begin(self, name: str) -> _ShardWork:
+        keeper = LeaseKeeper(
+            name, self._settings.host_name, self._store, self._clock, _TIMING
+        )
+        sender = OrderSender(
+            keeper, self._pool.find_engine, _TIMING.order_seconds
+        )
+        return _ShardWork(keeper, sender)
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -61,6 +61,16 @@
     'Messages exchanged with other entry hosts, and those that failed.',
     ('direction', 'message'),
 )
+LEASES = Counter(
+    'monsoonwall_leases_total',
+    'Leases of control work taken and lost by this host.',
+    ('change',),
+)
+ORDERS = Counter(
+    'monsoonwall_orders_total',
+    'Orders to model engines, by kind and how they ended.',
+    ('kind', 'ending'),
+)
 MESH_PEERS = Gauge('monsoonwall_mesh_peers', 'Other entry hosts thought alive.')
 CONFIGURATION_NUMBER = Gauge(
     'monsoonwall_configuration_number', 'Number of the one in force.'
--- /dev/null
+++ b/tests/control/__init__.py
@@ -0,0 +1,1 @@
+"""Test the control package."""
