--- a/src/monsoonwall/decisions/leases.py
+++ b/src/monsoonwall/decisions/leases.py
@@ -15,21 +15,37 @@
 
 _MILLISECONDS: Final = 1000
 _CANDIDATES: Final = 2
+_MARGIN_SHARE: Final = 0.08
 
 
 @dataclass(frozen=True)
 class LeaseTiming:
-    """Hold the lengths, in seconds, that all hosts share.
+    """Hold how long a lease lasts, which all hosts must agree on.
 
-    The margin covers clocks that run at different speeds, and the order
-    time is how long an order may be under way.
+    The margin covers clocks that run at different speeds.
     """
 
     lease_seconds: float = 12
-    margin_seconds: float = 1
-    order_seconds: float = 3
-    renew_seconds: float = 4
-    poll_seconds: float = 4
+
+    @property
+    def margin_seconds(self) -> float:
+        """Return how much earlier the holder stops ordering."""
+        return self.lease_seconds * _MARGIN_SHARE
+
+    @property
+    def order_seconds(self) -> float:
+        """Return how long an order may take."""
+        return self.lease_seconds / 4
+
+    @property
+    def renew_seconds(self) -> float:
+        """Return the time from one renewal to the next."""
+        return self.lease_seconds / 3
+
+    @property
+    def poll_seconds(self) -> float:
+        """Return the time from one look at another's lease to the next."""
+        return self.lease_seconds / 3
 
     @property
     def use_seconds(self) -> float:
--- a/src/monsoonwall/entry/controlling.py
+++ b/src/monsoonwall/entry/controlling.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from asyncio import Task
-from typing import Final
 
 from monsoonwall.backends.pool import BackendPool
 from monsoonwall.clocks import Clock
@@ -15,8 +14,6 @@
 from monsoonwall.platform.objects import ObjectStore
 from monsoonwall.settings import EntrySettings
 
-_TIMING: Final = LeaseTiming()
-
 
 class _ShardWork:
     """Want one shard's lease and work on it while it is held."""
@@ -54,12 +51,14 @@
         clock: Clock,
     ) -> None:
         self._settings = settings
+        self._timing = LeaseTiming(settings.lease_seconds)
         self._store = store
         self._peers = peers
         self._pool = pool
         self._clock = clock
         self._configuration: Configuration | None = None
         self._works: dict[str, _ShardWork] = {}
+        self._stopped = False
 
     def adopt(self, configuration: Configuration) -> None:
         """Work by another configuration from now on."""
@@ -67,13 +66,14 @@
 
     async def run(self) -> None:
         """Look at the shards again and again until cancelled."""
-        while True:
+        while not self._stopped:
             if self._configuration is not None:
                 await self._look(self._configuration)
             await asyncio.sleep(LOOK_SECONDS)
 
     async def stop(self) -> None:
         """Give all leases back."""
+        self._stopped = True
         for name in tuple(self._works):
             await self._works.pop(name).stop()
 
@@ -102,9 +102,13 @@
 
     def _begin(self, name: str) -> _ShardWork:
         keeper = LeaseKeeper(
-            name, self._settings.host_name, self._store, self._clock, _TIMING
+            name,
+            self._settings.host_name,
+            self._store,
+            self._clock,
+            self._timing,
         )
         sender = OrderSender(
-            keeper, self._pool.find_engine, _TIMING.order_seconds
+            keeper, self._pool.find_engine, self._timing.order_seconds
         )
         return _ShardWork(keeper, sender)
--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -2,30 +2,25 @@
 
 import asyncio
 import signal
-from typing import Final
-
-from tornado.httpserver import HTTPServer
 
 from monsoonwall.backends.pool import BackendPool
 from monsoonwall.clocks import Clock
 from monsoonwall.configuration.model import Configuration
 from monsoonwall.entry.claiming import Claims
+from monsoonwall.entry.controlling import Controlling
 from monsoonwall.entry.controls import RequestControls
 from monsoonwall.entry.copying import Copying, describe_host
+from monsoonwall.entry.listening import Listener
 from monsoonwall.entry.meshing import Mesh
 from monsoonwall.entry.moving import MovingTask
 from monsoonwall.entry.operating import Operating
 from monsoonwall.entry.reclaiming import Reclaiming
 from monsoonwall.entry.serving import ServingParts, build_serving
 from monsoonwall.entry.state import HostState
-from monsoonwall.entry.web import make_application, make_routes
+from monsoonwall.entry.web import make_routes
 from monsoonwall.logs import make_logger
 from monsoonwall.metrics import CONFIGURATION_NUMBER
-from monsoonwall.settings import EntrySettings, split_address
-
-# How long a connection may be idle, and how long a body may take to arrive.
-_IDLE_SECONDS: Final = 75
-_BODY_SECONDS: Final = 30
+from monsoonwall.settings import EntrySettings
 
 _log = make_logger('host')
 
@@ -67,6 +62,13 @@
             self._claims.claiming,
             clock,
         )
+        self._controlling = Controlling(
+            settings,
+            self._operating.store,
+            self._mesh.peers,
+            self._pool,
+            clock,
+        )
         own = describe_host(settings)
         self._copying = Copying(self._state, clock, own, self._mesh.peers)
         self._tasks = self._copying.tasks
@@ -94,6 +96,7 @@
                 self._moving,
                 self._copying,
                 self._reclaiming,
+                self._controlling,
             )
         ]
         _log.info('Entry host started.', address=self._settings.listen_address)
@@ -105,28 +108,19 @@
     def adopt(self, configuration: Configuration) -> None:
         """Put a configuration in force for requests accepted from now on."""
         self._state.serving = build_serving(configuration, self._parts)
+        self._controlling.adopt(configuration)
         CONFIGURATION_NUMBER.set(configuration.number)
 
-    def _listen(self) -> HTTPServer:
-        server = HTTPServer(
-            make_application(
-                [
-                    *make_routes(
-                        self._state, self._tasks, self._copying.finder
-                    ),
-                    *self._operating.make_routes(),
-                ],
-                self._settings.max_body_bytes,
-            ),
-            idle_connection_timeout=_IDLE_SECONDS,
-            body_timeout=_BODY_SECONDS,
-            max_body_size=self._settings.max_body_bytes,
+    def _listen(self) -> Listener:
+        return Listener(
+            self._settings,
+            [
+                *make_routes(self._state, self._tasks, self._copying.finder),
+                *self._operating.make_routes(),
+            ],
         )
-        host, port = split_address(self._settings.listen_address)
-        server.listen(port, host)
-        return server
 
-    async def _shut_down(self, server: HTTPServer) -> None:
+    async def _shut_down(self, server: Listener) -> None:
         _log.info('Shutdown begun.')
         self._state.leaving = True
         await self._mesh.announce_leaving()
@@ -134,10 +128,10 @@
             self._clock.read_monotonic() + self._settings.drain_seconds
         )
         left = await self._tasks.drain(drain_deadline)
+        await self._controlling.stop()
         await self._claims.stop(drain_deadline)
         await self._mesh.stop()
-        server.stop()
-        await server.close_all_connections()
+        await server.stop()
         self._operating.close()
         self._pool.close()
         _log.info('Shutdown done.', requests_left=left)
--- a/src/monsoonwall/settings.py
+++ b/src/monsoonwall/settings.py
@@ -30,6 +30,7 @@
 _PROGRAM: Final = 'monsoonwall'
 _MAX_PORT: Final = 65_535
 _DRAIN_SECONDS: Final = 20
+_LEASE_SECONDS: Final = 12
 _MAX_BODY_BYTES: Final = 1_000_000
 _PLATFORM_READS: Final = 100
 _PLATFORM_WRITES: Final = 40
@@ -52,6 +53,7 @@
     platform_reads_per_second: float
     platform_writes_per_second: float
     cloud_address: str = ''
+    lease_seconds: float = 12
 
 
 @dataclass(frozen=True)
@@ -157,6 +159,7 @@
                 'platform_writes_per_second'
             ].value,
             cloud_address=values['cloud_address'].value,
+            lease_seconds=values['lease_seconds'].value,
         )
     )
 
@@ -255,6 +258,13 @@
         flag_values=values,
         lower_bound=1,
     )
+    DEFINE_float(
+        'lease_seconds',
+        _LEASE_SECONDS,
+        'Time that a lease lasts; the same on all entry hosts.',
+        flag_values=values,
+        lower_bound=3,
+    )
     DEFINE_float(
         'platform_reads_per_second',
         _PLATFORM_READS,
--- a/tests/decisions/test_leases.py
+++ b/tests/decisions/test_leases.py
@@ -4,6 +4,7 @@
 of writes that took effect, or take effect late; the platform goes out.
 """
 
+import unittest
 from dataclasses import dataclass
 
 from hypothesis import settings, strategies
@@ -199,6 +200,18 @@
         )
 
 
+class DeadlineTest(unittest.TestCase):
+    """Check from when a holder counts its time."""
+
+    def test_time_counts_from_before_the_write(self):
+        state = LeaseState('north', TIMING)
+        state.note_read(0, None, 100)
+        write = state.decide(100, 0, 'token')
+        state.note_sent(write, 100)
+        state.note_written(1, 109)
+        self.assertEqual(state.term.deadline, 100 + TIMING.use_seconds)
+
+
 class LeaseTest(LeaseMachine.TestCase):
     """Run the machine."""
 
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -53,6 +53,7 @@
         self.events = []
         self.kv = {}
         self.fencing = 0
+        self.orders = []
         self.executed = []
         self.recomputed = 0
         self.load = None
@@ -240,6 +241,7 @@
     def post(self):
         order = self.read_json()
         number = order['fencing_number']
+        self.engine.orders.append(order)
         if number < self.engine.fencing and not self.engine.control.get(
             'ignore_fencing'
         ):
@@ -266,6 +268,7 @@
             json.encode(
                 {
                     'executed': engine.executed,
+                    'orders': engine.orders,
                     'recomputed': engine.recomputed,
                     'running': len(engine.running),
                 }
