--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -54,6 +54,7 @@
         self.events = []
         self.kv = {}
         self.fencing = 0
+        self.orders = []
         self.executed = []
         self.recomputed = 0
         self.load = None
@@ -242,6 +243,7 @@
     def post(self):
         order = self.read_json()
         number = order['fencing_number']
+        self.engine.orders.append(order)
         if number < self.engine.fencing and not self.engine.control.get(
             'ignore_fencing'
         ):
@@ -268,6 +270,7 @@
             json.encode(
                 {
                     'executed': engine.executed,
+                    'orders': engine.orders,
                     'recomputed': engine.recomputed,
                     'running': len(engine.running),
                 }
