Take a service's busy answer for unrun only if it names a time to come back

Cause: a refusal said not run after any 503 of a plain service, which only proves that it did not answer. Before: the new process test reads not_run for a 503 without Retry-After. After: unknown, and the key stays claimed; 6 process tests of claims pass.

--- a/src/monsoonwall/backends/errors.py
+++ b/src/monsoonwall/backends/errors.py
@@ -15,7 +15,8 @@
     if isinstance(error, ConnectionRefusedError):
         return AttemptFailure(AttemptEnding.unreachable, 'refused', False)
     if isinstance(error, HTTPTimeoutError):
-        connecting = 'connect' in str(error)
+        # Before the request is on its way nothing of it can have run.
+        connecting = 'during request' not in str(error)
         return AttemptFailure(
             AttemptEnding.unreachable
             if connecting
--- a/src/monsoonwall/backends/http_service.py
+++ b/src/monsoonwall/backends/http_service.py
@@ -43,7 +43,10 @@
         except (HTTPError, OSError) as error:
             return Failure(describe_error(error))
         if response.code in BUSY_STATUSES:
-            return Failure(_fail(AttemptEnding.busy, False))
+            # Only a service that names a time to come back says that it has
+            # not begun; that matters where a call must not run twice.
+            unrun = call.idempotent or 'Retry-After' in response.headers
+            return Failure(_fail(AttemptEnding.busy, not unrun))
         return Success(
             ServiceReply(
                 status=response.code,
--- a/tests/claims/test_claims_processes.py
+++ b/tests/claims/test_claims_processes.py
@@ -57,6 +57,18 @@
         self.assertEqual(again['effect'], 'unknown')
         self.assertEqual(self.count_executed('lost'), 1)
 
+    def test_only_a_named_time_to_come_back_means_unrun(self):
+        for busy, effect in (('unrun', 'not_run'), ('unsaid', 'unknown')):
+            for name in ('ledger-0', 'ledger-1'):
+                self.deployment.control(name, busy=busy)
+            error = self.reserve('entry-0', busy).read_json()['error']
+            self.assertEqual(error['effect'], effect)
+        for name in ('ledger-0', 'ledger-1'):
+            self.deployment.control(name)
+        self.assertEqual(self.reserve('entry-1', 'unrun').status, 200)
+        again = self.reserve('entry-1', 'unsaid').read_json()['error']
+        self.assertEqual(again['effect'], 'unknown')
+
     def test_platform_outage_is_refused_unrun(self):
         self.deployment.control('platform', outage=True)
         refused = self.reserve('entry-0', 'outage')
--- a/tests/standins/ledger.py
+++ b/tests/standins/ledger.py
@@ -1,7 +1,8 @@
 """Imitate a plain service that records stock and tells what it executed.
 
 POST /control sets ``lose_answers`` (calls run, their answers are lost),
-``busy`` (calls are refused unrun) and ``slow_seconds``.
+``busy`` (calls get status 503, with a time to come back if it is 'unrun')
+and ``slow_seconds``.
 """
 
 import asyncio
@@ -29,7 +30,10 @@
     async def run(self, path):
         control = self.ledger.control
         if control.get('busy'):
-            self.send_error(503)
+            self.set_status(503)
+            if control['busy'] == 'unrun':
+                self.set_header('Retry-After', '1')
+            self.finish()
             return
         key = self.request.headers.get('Idempotency-Key', '')
         method = self.request.method
