Let entry hosts find each other in the platform's list

Settings named the only seeds, so hosts started without them, or two halves that lost each other, never met.

--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -85,7 +85,8 @@
             (
                 self._claims.registrar,
                 self._copying.register,
-            )
+            ),
+            self._operating.store,
         )
         server = self._listen()
         running = [
--- a/src/monsoonwall/entry/meshing.py
+++ b/src/monsoonwall/entry/meshing.py
@@ -15,10 +15,12 @@
 from monsoonwall.mesh.exchange import Exchanger
 from monsoonwall.mesh.gossip import GossipTask
 from monsoonwall.mesh.peers import Peer, Peers, Registrar
+from monsoonwall.mesh.registry import Registry
 from monsoonwall.mesh.roster import Roster
 from monsoonwall.mesh.rounds import Planner
 from monsoonwall.mesh.server import MeshServer
 from monsoonwall.mesh.store import HostRecord, RecordStore
+from monsoonwall.platform.objects import ObjectStore
 from monsoonwall.settings import EntrySettings
 
 _MILLISECONDS: Final = 1000
@@ -128,6 +130,9 @@
             board.announce,
         )
         planner = Planner(store, settings.peers, clock.read_monotonic())
+        self._own = own
+        self._record = record
+        self._planner = planner
         self._address = settings.mesh_address
         self._channels = Channels()
         self._gossip = GossipTask(
@@ -137,15 +142,27 @@
         self.board: Board = board
         self.peers: Peers = MeshPeers(planner.roster, self._channels)
         self._server: MeshServer | None = None
-        self._running: Task[None] | None = None
+        self._running: list[Task[None]] = []
 
-    async def start(self, registrars: Sequence[Registrar] = ()) -> None:
-        """Serve the other hosts, with the given services too."""
+    async def start(
+        self,
+        registrars: Sequence[Registrar] = (),
+        objects: ObjectStore | None = None,
+    ) -> None:
+        """Serve the other hosts, with the given services too.
+
+        With the platform's objects, hosts find each other there as well.
+        """
         self._server = MeshServer(
             self._address, (self._gossip.register, *registrars)
         )
         await self._server.start()
-        self._running = asyncio.create_task(self._gossip.run())
+        self._running.append(asyncio.create_task(self._gossip.run()))
+        if objects is not None:
+            registry = Registry(
+                self._own, self._record.address, self._planner, objects
+            )
+            self._running.append(asyncio.create_task(registry.run()))
 
     async def announce_leaving(self) -> None:
         """Tell the peers that this host takes nothing new."""
@@ -154,8 +171,8 @@
     async def stop(self) -> None:
         """Take leave of the peers and stop."""
         await self._gossip.announce_leaving(left=True)
-        if self._running is not None:
-            self._running.cancel()
+        for task in self._running:
+            task.cancel()
         if self._server is not None:
             await self._server.stop()
         await self._channels.close()
--- a/tests/entry/test_mesh_processes.py
+++ b/tests/entry/test_mesh_processes.py
@@ -30,8 +30,9 @@
         self.deployment.control(HEEDLESS, ignore_fencing=True)
         self.declare('v2', 1)
         for name in HOSTS:
+            # The hosts find each other in the platform's list alone.
             self.deployment.start_entry(
-                name, ZONE, f'--lease_seconds={LEASE_SECONDS}'
+                name, ZONE, '--peers=', f'--lease_seconds={LEASE_SECONDS}'
             )
         self.deployment.wait_ready(*HOSTS)
 
@@ -82,7 +83,17 @@
         order = {'kind': kind, 'subject': 'v3', 'fencing_number': number}
         return self.deployment.send(name, 'POST', '/orders', order).status
 
+    def count_peers(self, name):
+        text = self.deployment.send(name, 'GET', '/metrics').body.decode()
+        return text.partition('\nmonsoonwall_mesh_peers ')[2].partition('\n')[0]
+
     def test_frozen_then_stopped_holder(self):
+        for name in HOSTS:
+            found = wait_until(
+                lambda one=name: self.count_peers(one) == '1.0',
+                TAKEOVER_SECONDS,
+            )
+            self.assertTrue(found, f'{name} does not find its peer')
         self.wait_loaded('v2')
         before = self.read_lease()
         self.deployment.signal(before['holder'], signal.SIGSTOP)
--- a/tests/standins/mesh_host.py
+++ b/tests/standins/mesh_host.py
@@ -15,11 +15,7 @@
 from monsoonwall.clocks import SystemClock
 from monsoonwall.entry.meshing import Mesh
 from monsoonwall.mesh.board import Fact
-from monsoonwall.settings import (
-    check_entry_settings,
-    define_entry_flags,
-    parse_flags,
-)
+from monsoonwall.settings import EntrySettings
 
 
 class ControlHandler(RequestHandler):
@@ -56,15 +52,20 @@
 
 def make_settings(name, zone, mesh_port, peers):
     """Return settings in which only the mesh's matter."""
-    flags = (
-        f'--host_name={name}',
-        f'--zone={zone}',
-        f'--mesh_address=127.0.0.1:{mesh_port}',
-        '--platform_address=127.0.0.1:1',
-        f'--peers={",".join(f"127.0.0.1:{port}" for port in peers)}',
+    return EntrySettings(
+        host_name=name,
+        zone=zone,
+        region='region',
+        listen_address='',
+        mesh_address=f'127.0.0.1:{mesh_port}',
+        platform_address='',
+        peers=tuple(f'127.0.0.1:{port}' for port in peers),
+        log_json=False,
+        drain_seconds=1,
+        max_body_bytes=1,
+        platform_reads_per_second=1,
+        platform_writes_per_second=1,
     )
-    values, _ = parse_flags(define_entry_flags, flags, {}).unwrap()
-    return check_entry_settings(values).unwrap()
 
 
 async def serve(port, name, zone, mesh_port, advertised, *peers):
