--- a/src/monsoonwall/decisions/gossip.py
+++ b/src/monsoonwall/decisions/gossip.py
@@ -15,10 +15,10 @@
 
 from monsoonwall.mesh.peers import Peer
 
-FULL_EXCHANGE_MEMBERS: Final = 32
+FULL_EXCHANGE_MEMBERS: Final = 24
 # Below this a wide fleet goes back to full exchange; the space between keeps
 # one that stays at the limit from going back and forth.
-_FULL_AGAIN_MEMBERS: Final = 24
+_FULL_AGAIN_MEMBERS: Final = 18
 FULL_ROUND_SECONDS: Final = 0.25
 WIDE_ROUND_SECONDS: Final = 1.0
 RELAYS_PER_ZONE: Final = 2
@@ -26,8 +26,8 @@
 _PUSH_FANOUT: Final = 4
 # What a host may receive and send of entries and of zone summaries; the rest
 # of its 24 kB a second is for digests and facts.
-_ENTRY_BYTES_PER_SECOND: Final = 8000
-_SUMMARY_BYTES_PER_SECOND: Final = 4000
+_ENTRY_BYTES_PER_SECOND: Final = 6500
+_SUMMARY_BYTES_PER_SECOND: Final = 3000
 
 
 @dataclass(frozen=True)
