--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -11,9 +11,11 @@
 from itertools import count
 
 from psutil import Process
+from tornado.httpclient import AsyncHTTPClient
 
 from benchmarks.fleet import FleetHost
 from monsoonwall.backends.engine import LoadReport
+from monsoonwall.backends.http_engine import HttpEngine
 from monsoonwall.clocks import SystemClock
 from monsoonwall.configuration.model import (
     BackendServer,
@@ -41,7 +43,7 @@
 from monsoonwall.mesh.wire.gossip_pb2_grpc import MeshStub
 from monsoonwall.pipeline.answers import Answer
 from monsoonwall.pipeline.messages import Call, Priority
-from tests.standins.deployment import find_free_port
+from tests.standins.deployment import Deployment, find_free_port
 
 LEASE_SECONDS_MEASURED = 1200
 
@@ -228,6 +230,23 @@
     return Point(logs, spent / 300 * 1000)
 
 
+async def measure_polls(polls: int) -> Point:
+    """Return this process's milliseconds for so many load polls."""
+    clock = SystemClock()
+    client = AsyncHTTPClient(force_instance=True)
+    with Deployment() as deployment:
+        deployment.start_engine('engine')
+        address = f'127.0.0.1:{deployment.ports["engine"]}'
+        engine = HttpEngine(address, client, clock)
+        await engine.read_load()
+        begun = time.process_time()
+        for _ in range(polls):
+            await engine.read_load()
+        spent = time.process_time() - begun
+    client.close()
+    return Point(polls, spent * 1000)
+
+
 def run() -> None:
     """Print the slopes."""
     meter = MemoryMeter()
@@ -243,6 +262,11 @@
         'ms',
         [asyncio.run(measure_exchange(size)) for size in (9, 40, 124)],
     )
+    print_slope(
+        'load polls of model engines',
+        'ms',
+        [asyncio.run(measure_polls(polls)) for polls in (100, 300, 900)],
+    )
     print_slope(
         'platform calls of one lease by candidates',
         'calls/s',
--- a/src/monsoonwall/control/orders.py
+++ b/src/monsoonwall/control/orders.py
@@ -7,6 +7,7 @@
 from returns.pipeline import is_successful
 
 from monsoonwall.backends.engine import LoadReport, ModelEngine
+from monsoonwall.clocks import Clock
 from monsoonwall.configuration.model import Configuration
 from monsoonwall.control.keeper import LeaseKeeper
 from monsoonwall.decisions.orders import PlannedOrder, Shard, plan_orders
@@ -14,6 +15,8 @@
 from monsoonwall.metrics import ORDERS
 
 LOOK_SECONDS: Final = 2.0
+# Between looks at engines that hold what they should.
+_CALM_SECONDS: Final = 10.0
 
 _log = make_logger('orders')
 
@@ -26,14 +29,18 @@
         keeper: LeaseKeeper,
         find_engine: Callable[[str], ModelEngine | None],
         order_seconds: float,
+        clock: Clock,
     ) -> None:
         self._keeper = keeper
         self._find_engine = find_engine
         self._order_seconds = order_seconds
+        self._clock = clock
+        self._look_at = float('-inf')
+        self._number = 0
 
     async def look(self, configuration: Configuration, shard: Shard) -> None:
         """Look once, order, and leave it to the next look to read back."""
-        if self._keeper.get_term() is None:
+        if self._keeper.get_term() is None or self._is_calm(configuration):
             return
         reports = await self._read_reports(shard)
         term = self._keeper.get_term()
@@ -43,6 +50,13 @@
             configuration, shard, reports, term.fencing_number
         )
         await asyncio.gather(*map(self._send, planned))
+        if not planned:
+            self._number = configuration.number
+            self._look_at = self._clock.read_monotonic() + _CALM_SECONDS
+
+    def _is_calm(self, configuration: Configuration) -> bool:
+        now = self._clock.read_monotonic()
+        return self._number == configuration.number and now < self._look_at
 
     async def _read_reports(self, shard: Shard) -> Mapping[str, LoadReport]:
         engines = {name: self._find_engine(name) for name in shard.servers}
--- a/src/monsoonwall/decisions/reclaims.py
+++ b/src/monsoonwall/decisions/reclaims.py
@@ -4,12 +4,17 @@
 resume elsewhere from its tokens, where they and the prompt are computed
 again. The time until the deadline is too short for all caches in a bad wave,
 so that those worth most go first.
+
+Other entry hosts move their streams over the same link, and this one cannot
+know how much of it they use. Plans therefore count on the whole link and are
+made again several times a second: a transfer that ends too late costs nothing
+that resuming would have saved, since the stream goes on while its cache is
+copied, but a cache that was never sent is computed again for certain.
 """
 
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
-from heapq import heapreplace
 
 
 class MoveKind(StrEnum):
@@ -32,8 +37,8 @@
     transfer_overhead_seconds: float = 0.03
     prefill_rate: float = 8000
     token_seconds: float = 0.067
-    parallel_transfers: int = 4
-    margin_seconds: float = 0.5
+    parallel_transfers: int = 2
+    margin_seconds: float = 0.2
 
 
 @dataclass(frozen=True)
@@ -53,14 +58,12 @@
 class MoveWindow:
     """Bound the moves from one server; times are monotonic seconds.
 
-    ``share`` is the part of the server's streams that this entry host has:
-    the others move theirs over the same link.
+    ``tokens_under_way`` counts what running transfers have to carry.
     """
 
     now: float
     deadline: float
-    share: float = 1
-    transfers_running: int = 0
+    tokens_under_way: int = 0
 
 
 @dataclass(frozen=True)
@@ -82,9 +85,9 @@
     ordered = sorted(
         streams, key=lambda one: (-one.held_tokens, one.request_id)
     )
-    lanes = _Lanes(window, costs)
+    link = _Link(window, costs)
     return tuple(
-        PlannedMove(one.request_id, _choose_kind(one, window, costs, lanes))
+        PlannedMove(one.request_id, _choose_kind(one, window, costs, link))
         for one in ordered
     )
 
@@ -94,35 +97,26 @@
     return costs.transfer_overhead_seconds + tokens / costs.transfer_rate
 
 
-class _Lanes:
-    """Book transfers on the link of one server."""
+class _Link:
+    """Book transfers one after the other on the link of one server."""
 
     def __init__(self, window: MoveWindow, costs: MoveCosts) -> None:
         self._costs = costs
-        self._share = max(window.share, 1 / costs.transfer_rate)
         self._latest = window.deadline - costs.margin_seconds
-        # Transfers that run already are taken to be half way.
-        busy = window.now + costs.transfer_overhead_seconds
-        free = costs.parallel_transfers - window.transfers_running
-        self._free_at = sorted(
-            window.now if lane < free else busy
-            for lane in range(costs.parallel_transfers)
-        )
+        under_way = window.tokens_under_way / costs.transfer_rate
+        self._free_at = window.now + under_way
 
     def book(self, tokens: int) -> bool:
-        """Book a transfer; return whether it ends in time."""
-        costs = self._costs
-        rate = costs.transfer_rate * self._share / costs.parallel_transfers
-        seconds = costs.transfer_overhead_seconds + tokens / rate
-        end = self._free_at[0] + seconds
-        if end > self._latest:
+        """Book a transfer; return whether it can end in time."""
+        sent = self._free_at + tokens / self._costs.transfer_rate
+        if sent + self._costs.transfer_overhead_seconds > self._latest:
             return False
-        heapreplace(self._free_at, end)
+        self._free_at = sent
         return True
 
 
 def _choose_kind(
-    stream: StreamAtRisk, window: MoveWindow, costs: MoveCosts, lanes: _Lanes
+    stream: StreamAtRisk, window: MoveWindow, costs: MoveCosts, link: _Link
 ) -> MoveKind:
     until_end = stream.remaining_tokens * costs.token_seconds
     if window.now + until_end + costs.margin_seconds <= window.deadline:
@@ -130,6 +124,6 @@
     again = stream.held_tokens / costs.prefill_rate
     if again <= estimate_transfer_seconds(stream.held_tokens, costs):
         return MoveKind.resume
-    if lanes.book(stream.held_tokens):
+    if link.book(stream.held_tokens):
         return MoveKind.transfer
     return MoveKind.resume
--- a/src/monsoonwall/entry/controlling.py
+++ b/src/monsoonwall/entry/controlling.py
@@ -109,6 +109,9 @@
             self._timing,
         )
         sender = OrderSender(
-            keeper, self._pool.find_engine, self._timing.order_seconds
+            keeper,
+            self._pool.find_engine,
+            self._timing.order_seconds,
+            self._clock,
         )
         return _ShardWork(keeper, sender)
--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -36,7 +36,7 @@
         self._stopping = asyncio.Event()
         self._mesh = Mesh(settings, clock)
         self._operating = Operating(
-            settings, self._state, self._mesh.board, clock, self.adopt
+            settings, self._state, self._mesh, clock, self.adopt
         )
         self._claims = Claims(
             settings.host_name,
@@ -48,7 +48,11 @@
             settings, self._mesh, self._pool, clock
         )
         self._moving = MovingTask(
-            self._mesh.board, self._operating.store, clock, settings.host_name
+            self._mesh.board,
+            self._operating.store,
+            clock,
+            settings.host_name,
+            self._operating.configuring.may_work,
         )
         self._operating.reports.add_reporter(
             'moves', self._moving.describe_moves
@@ -85,6 +89,7 @@
             (
                 self._claims.registrar,
                 self._copying.register,
+                self._operating.configuring.documents.register,
             ),
             self._operating.store,
         )
