Hold moves back on a host that was paused

A host that wakes from a pause of more than 1.5 s gives the new version nothing for 2 s, in which gossip brings a withdrawal that it missed.

--- a/src/monsoonwall/entry/moving.py
+++ b/src/monsoonwall/entry/moving.py
@@ -23,6 +23,7 @@
 from monsoonwall.moves.carrying import CarriedMove
 from monsoonwall.moves.keeping import RecordKeeper
 from monsoonwall.moves.ledger import EvidenceLedger, share_evidence
+from monsoonwall.moves.pauses import PauseGuard
 from monsoonwall.moves.records import (
     CONCLUSION_KIND,
     ConclusionBoard,
@@ -61,6 +62,7 @@
         self._keeper = RecordKeeper(
             self._conclusions, ConclusionStore(store), clock, host_name
         )
+        self._guard = PauseGuard(clock.read_monotonic())
         self._started = False
 
     def adopt(self, configuration: Configuration) -> None:
@@ -88,10 +90,12 @@
     def choose_version(self, call: Call, active: str) -> str:
         """Return the version of a call whose service runs ``active``."""
         version = active
+        # A host that was paused waits until it has heard of withdrawals.
+        settled = self._guard.is_settled(self._clock.read_monotonic())
         for one in self._list_moves(call.service, version):
             if one.is_done:
                 version = one.move.to_version
-            elif one.takes(call):
+            elif settled and one.takes(call):
                 return one.move.to_version
         return version
 
@@ -131,6 +135,7 @@
     def decide(self) -> None:
         """Exchange evidence and advance every move once."""
         now_wall = self._clock.read_wall()
+        self._guard.check(self._clock.read_monotonic())
         for one in self._carried.values():
             if one.course.conclusion is None:
                 self._advance(one, now_wall)
--- a/tests/entry/test_moves_processes.py
+++ b/tests/entry/test_moves_processes.py
@@ -1,6 +1,7 @@
 """Move a service between versions with real processes."""
 
 import re
+import signal
 import threading
 import time
 import unittest
@@ -30,8 +31,9 @@
 class Callers:
     """Send requests to all entry hosts in turn, from several threads."""
 
-    def __init__(self, deployment, threads=6):
+    def __init__(self, deployment, entries=ENTRIES, threads=6):
         self.deployment = deployment
+        self._entries = entries
         self.replies = Counter()
         self._stopping = threading.Event()
         self._threads = [
@@ -54,7 +56,9 @@
         while not self._stopping.wait(0.02):
             sent += 1
             prompt = f'caller {number} asks {sent}'
-            self.replies[self._ask(ENTRIES[sent % 3], prompt)] += 1
+            self.replies[
+                self._ask(self._entries[sent % len(self._entries)], prompt)
+            ] += 1
 
     def _ask(self, entry, prompt):
         reply = self.deployment.send(
@@ -124,14 +128,14 @@
             for count in _ATTEMPTS.findall(self.read_metrics(entry))
         )
 
-    def list_concluded(self, phase):
+    def list_concluded(self, phase, entries=ENTRIES):
         line = f'monsoonwall_move_conclusions_total{{phase="{phase}"}} '
-        return [entry for entry in ENTRIES if line in self.read_metrics(entry)]
+        return [entry for entry in entries if line in self.read_metrics(entry)]
 
-    def list_shares(self):
+    def list_shares(self, entries=ENTRIES):
         return [
             float(share)
-            for entry in ENTRIES
+            for entry in entries
             for share in _SHARE.findall(self.read_metrics(entry))
         ]
 
@@ -179,6 +183,31 @@
         self.assertEqual(self.count_new_attempts(), 0)
         self.assertEqual(set(callers.replies), {'whole'})
 
+    def test_paused_host(self):
+        """Send nothing to a version that was withdrawn during a pause."""
+        deployment = self.deployment
+        for name in NEW_ENGINES:
+            deployment.control(name, fail=500, token_seconds=0.02)
+        paused = ENTRIES[2:]
+        with Callers(deployment, ENTRIES[:2]):
+            self.plan_move(60)
+            self.assertTrue(wait_until(lambda: any(self.list_shares(paused))))
+            deployment.signal(paused[0], signal.SIGSTOP)
+            self.assertTrue(
+                wait_until(
+                    lambda: self.list_concluded('withdrawn', ENTRIES[:2])
+                )
+            )
+        time.sleep(SPREAD_SECONDS)
+        # Requests that wait are the first thing it sees when it goes on.
+        with Callers(deployment, paused, threads=80):
+            time.sleep(0.5)
+            deployment.signal(paused[0], signal.SIGCONT)
+            self.assertTrue(
+                wait_until(lambda: self.list_concluded('withdrawn', paused))
+            )
+        self.assertNotIn('version="v2"', self.read_metrics(paused[0]))
+
     def test_good_version(self):
         """Give it all requests by the deadline."""
         deployment = self.deployment
