--- a/src/monsoonwall/entry/reclaiming.py
+++ b/src/monsoonwall/entry/reclaiming.py
@@ -94,7 +94,7 @@
         now_wall = self._clock.read_wall()
         leaving = read_leaving_servers(self._board, now_wall)
         if leaving:
-            await self._mover.move(leaving)
+            self._mover.move(leaving)
         else:
             await self._wait(_IDLE_SECONDS)
 
--- /dev/null
+++ b/tests/decisions/test_reclaims.py
@@ -0,0 +1,120 @@
+"""Check the plans for streams on servers that are reclaimed."""
+
+import unittest
+from itertools import product
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from monsoonwall.decisions.reclaims import (
+    MoveCosts,
+    MoveKind,
+    MoveWindow,
+    StreamAtRisk,
+    estimate_transfer_seconds,
+    plan_moves,
+)
+
+COSTS = MoveCosts()
+
+stream_sizes = st.lists(
+    st.tuples(st.integers(0, 30_000), st.integers(1, 4000)), max_size=12
+)
+notices = st.floats(0, 10)
+
+
+def make_streams(sizes):
+    return [
+        StreamAtRisk(f'request-{index}', held, remaining)
+        for index, (held, remaining) in enumerate(sizes)
+    ]
+
+
+def count_recomputed(streams, kinds):
+    """Return the tokens computed again, resuming costing what is held."""
+    return sum(
+        stream.held_tokens
+        for stream in streams
+        if kinds[stream.request_id] is MoveKind.resume
+    )
+
+
+def find_best(streams, seconds):
+    """Return the fewest tokens any choice of transfers computes again."""
+    best = None
+    for transferred in product((False, True), repeat=len(streams)):
+        moved = sum(
+            stream.held_tokens
+            for stream, chosen in zip(streams, transferred, strict=True)
+            if chosen
+        )
+        needed = estimate_transfer_seconds(moved, COSTS)
+        if needed <= seconds - COSTS.margin_seconds:
+            again = sum(
+                stream.held_tokens
+                for stream, chosen in zip(streams, transferred, strict=True)
+                if not chosen
+            )
+            best = again if best is None else min(best, again)
+    return best
+
+
+class PlanTest(unittest.TestCase):
+    """Compare plans with what must hold and with other ways."""
+
+    @given(stream_sizes, notices, st.integers(0, 50_000))
+    def test_plan_keeps_its_promises(self, sizes, seconds, under_way):
+        streams = make_streams(sizes)
+        window = MoveWindow(100, 100 + seconds, under_way)
+        plan = plan_moves(streams, window, COSTS)
+        known = {stream.request_id: stream for stream in streams}
+        self.assertEqual(sorted(known), sorted(one.request_id for one in plan))
+        stakes = [known[one.request_id].held_tokens for one in plan]
+        self.assertEqual(stakes, sorted(stakes, reverse=True))
+        kinds = {one.request_id: one.kind for one in plan}
+        transferred = 0
+        for request_id, kind in kinds.items():
+            stream = known[request_id]
+            if kind is MoveKind.finish:
+                self.assertLessEqual(
+                    stream.remaining_tokens * COSTS.token_seconds,
+                    seconds - COSTS.margin_seconds + 1e-9,
+                )
+            if kind is MoveKind.transfer:
+                transferred += stream.held_tokens
+        # The link carries no more than its rate until the deadline.
+        if transferred:
+            capacity = seconds * COSTS.transfer_rate
+            self.assertLessEqual(transferred + under_way, capacity)
+
+    @given(stream_sizes, notices)
+    def test_never_worse_than_restarting(self, sizes, seconds):
+        streams = make_streams(sizes)
+        plan = plan_moves(streams, MoveWindow(0, seconds), COSTS)
+        kinds = {one.request_id: one.kind for one in plan}
+        restarted = sum(stream.held_tokens for stream in streams)
+        self.assertLessEqual(count_recomputed(streams, kinds), restarted)
+
+    @given(st.lists(st.integers(2000, 30_000), min_size=1, max_size=8), notices)
+    def test_saves_half_of_what_the_best_choice_saves(self, held, seconds):
+        streams = make_streams([(tokens, 4000) for tokens in held])
+        plan = plan_moves(streams, MoveWindow(0, seconds), COSTS)
+        kinds = {one.request_id: one.kind for one in plan}
+        best = find_best(streams, seconds)
+        total = sum(held)
+        saved = total - count_recomputed(streams, kinds)
+        if best is not None:
+            self.assertGreaterEqual(2 * saved, total - best)
+
+    def test_passed_deadline_leaves_nothing_to_transfer(self):
+        streams = make_streams([(5000, 100), (10, 1)])
+        plan = plan_moves(streams, MoveWindow(10, 9), COSTS)
+        self.assertEqual({one.kind for one in plan}, {MoveKind.resume})
+
+    def test_small_stream_resumes_as_that_costs_less(self):
+        plan = plan_moves(make_streams([(20, 4000)]), MoveWindow(0, 9), COSTS)
+        self.assertEqual([one.kind for one in plan], [MoveKind.resume])
+
+    def test_almost_ended_stream_stays(self):
+        plan = plan_moves(make_streams([(9000, 3)]), MoveWindow(0, 2), COSTS)
+        self.assertEqual([one.kind for one in plan], [MoveKind.finish])
