--- a/src/monsoonwall/streams/links.py
+++ b/src/monsoonwall/streams/links.py
@@ -20,6 +20,7 @@
     RequestCopy,
 )
 from monsoonwall.mesh.wire.answers_pb2_grpc import AnswersStub
+from monsoonwall.metrics import MESH_BYTES, MESH_MESSAGES
 
 # A caller waits for its copy, so a silent peer is given up on soon.
 SEND_SECONDS: Final = 0.3
@@ -44,7 +45,8 @@
 
 @dataclass(frozen=True)
 class _Waiting:
-    parcel: Parcel
+    parcels: list[Parcel]
+    size: int
     reply: 'Future[BatchReply | None]'
 
 
@@ -63,12 +65,15 @@
         self._sending: Task[None] | None = None
 
     async def send(self, parcels: Sequence[Parcel]) -> list[BatchReply | None]:
-        """Return the reply to each parcel's batch, None for a lost one."""
-        waiting = [_Waiting(parcel, Future()) for parcel in parcels]
+        """Return the replies to all batches with them, None for a lost one."""
+        waiting = [
+            _Waiting(group, size, Future())
+            for group, size in _group_parcels(parcels)
+        ]
         self._waiting.extend(waiting)
         if self._sending is None:
             self._sending = asyncio.create_task(self._send_waiting())
-        return list(await asyncio.gather(*(one.reply for one in waiting)))
+        return [await one.reply for one in waiting]
 
     async def _send_waiting(self) -> None:
         try:
@@ -81,7 +86,7 @@
         size = 0
         count = 0
         for one in self._waiting:
-            size += one.parcel.measure()
+            size += one.size
             if count and size > _BATCH_BYTES:
                 break
             count += 1
@@ -90,12 +95,14 @@
         return batch
 
     async def _send_batch(self, batch: list[_Waiting]) -> None:
-        parcels = [one.parcel for one in batch]
+        parcels = [parcel for one in batch for parcel in one.parcels]
         message = Batch(
             owner=self._owner,
             copies=[one.copy for one in parcels if one.copy],
             progress=[one.progress for one in parcels if one.progress],
         )
+        MESH_BYTES.labels('sent').inc(message.ByteSize())
+        MESH_MESSAGES.labels('sent', 'copies').inc()
         reply = None
         try:
             reply = await self._stub.Replicate(message, timeout=SEND_SECONDS)
@@ -106,6 +113,23 @@
                 one.reply.set_result(reply)
 
 
+def _group_parcels(
+    parcels: Sequence[Parcel],
+) -> list[tuple[list[Parcel], int]]:
+    groups: list[tuple[list[Parcel], int]] = []
+    group: list[Parcel] = []
+    total = 0
+    for parcel in parcels:
+        size = parcel.measure()
+        if group and total + size > _BATCH_BYTES:
+            groups.append((group, total))
+            group, total = [], 0
+        group.append(parcel)
+        total += size
+    groups.append((group, total))
+    return groups
+
+
 class Links:
     """Choose holders and send to them, passing over silent ones a while."""
 
--- a/src/monsoonwall/streams/replication.py
+++ b/src/monsoonwall/streams/replication.py
@@ -24,7 +24,7 @@
 from monsoonwall.streams.links import Links, Parcel
 from monsoonwall.streams.loops import repeat_step
 
-PROGRESS_SECONDS: Final = 0.2
+PROGRESS_SECONDS: Final = 0.5
 _PLACE_TRIES: Final = 2
 _ELSEWHERE: Final = AttemptFailure(
     AttemptEnding.cancelled, 'another entry host runs the request', True
--- a/src/monsoonwall/streams/servicer.py
+++ b/src/monsoonwall/streams/servicer.py
@@ -17,6 +17,7 @@
     AnswersServicer,
     add_AnswersServicer_to_server,
 )
+from monsoonwall.metrics import MESH_BYTES, MESH_MESSAGES
 from monsoonwall.pipeline.answers import Answer, Position
 from monsoonwall.streams.codec import encode_part
 from monsoonwall.streams.holdings import Holdings
@@ -36,6 +37,8 @@
 
     async def Replicate(self, request: Batch, context: Any) -> BatchReply:
         """Keep copies and their progress."""
+        MESH_BYTES.labels('received').inc(request.ByteSize())
+        MESH_MESSAGES.labels('received', 'copies').inc()
         reply = BatchReply()
         taken_over = {
             copy.request_id
--- /dev/null
+++ b/tests/streams/test_replication.py
@@ -0,0 +1,168 @@
+"""Place copies on peers over gRPC, some of which fail."""
+
+import unittest
+from dataclasses import replace
+from unittest.mock import create_autospec
+
+from grpc.aio import insecure_channel, server
+
+from monsoonwall.clocks import SystemClock
+from monsoonwall.decisions.copies import parse_origin
+from monsoonwall.mesh.peers import Peer, Peers
+from monsoonwall.pipeline.answers import Answer
+from monsoonwall.pipeline.messages import Call, Chunk, Priority
+from monsoonwall.streams.holdings import Holdings
+from monsoonwall.streams.replication import Replicator
+from monsoonwall.streams.runner import AnswerRunner
+from monsoonwall.streams.servicer import AnswersService
+from tests.standins.deployment import find_free_port
+
+CALL = Call(
+    request_id='own.1',
+    workspace='depot',
+    route='hotline',
+    service='assistant',
+    priority=Priority.interactive,
+    idempotent=True,
+    idempotency_key=None,
+    deadline=0,
+    content_key='key',
+    prompt='hi',
+    max_tokens=9,
+    seed=7,
+    chat=True,
+)
+OWN = Peer('own', 'zone-a', 'north', 'own:1', 1)
+
+
+class StaticPeers(Peers):
+    """Know a fixed list of peers."""
+
+    def __init__(self):
+        self.peers = []
+        self.channels = {}
+
+    def list_peers(self):
+        return tuple(self.peers)
+
+    def find_channel(self, name):
+        return self.channels.get(name)
+
+    def add(self, name, port):
+        self.peers.append(Peer(name, 'zone-b', 'north', f'127.0.0.1:{port}', 1))
+        self.channels[name] = insecure_channel(f'127.0.0.1:{port}')
+
+
+class ReplicationTest(unittest.IsolatedAsyncioTestCase):
+    """Replicate to one holder that is there and one that is not."""
+
+    async def asyncSetUp(self):
+        self.clock = SystemClock()
+        self.peers = StaticPeers()
+        self.replicator = Replicator(OWN, self.peers, self.clock)
+        deadline = self.clock.read_monotonic() + 60
+        self.call = replace(CALL, deadline=deadline)
+
+    async def start_holder(self, name):
+        holdings = Holdings(self.clock)
+        self.runner = create_autospec(AnswerRunner, instance=True)
+        self.runner.find_answer.return_value = None
+        serving = server()
+        AnswersService(self.runner, holdings).register(serving)
+        port = serving.add_insecure_port('127.0.0.1:0')
+        await serving.start()
+        self.addAsyncCleanup(serving.stop, 0)
+        self.peers.add(name, port)
+        return holdings
+
+    async def place(self):
+        return await self.replicator.place(self.call, 'v1', False)
+
+    def grow(self, answer, attempt, *tokens):
+        answer.begin_attempt(attempt)
+        request_id = answer.call.request_id
+        offset = len(answer.tokens)
+        answer.take(Chunk(request_id, attempt, offset, tokens))
+
+    async def test_copy_is_there_before_the_answer_begins(self):
+        holdings = await self.start_holder('holder')
+        answer = await self.place()
+        request_id = answer.call.request_id
+        self.assertEqual(parse_origin(request_id).holder, 'holder')
+        held = holdings.release(request_id)
+        expected = replace(answer.call, deadline=held.call.deadline)
+        self.assertEqual(held.call, expected)
+        self.assertAlmostEqual(
+            held.call.deadline, answer.call.deadline, delta=1
+        )
+        self.assertEqual((held.version, held.takeovers), ('v1', 1))
+
+    async def test_silent_peer_is_passed_over(self):
+        # Nobody listens at the silent peer; it would hold half the copies.
+        self.peers.add('silent', find_free_port())
+        holdings = await self.start_holder('holder')
+        answers = [await self.place() for _ in range(4)]
+        self.assertEqual(
+            {parse_origin(one.call.request_id).holder for one in answers},
+            {'holder'},
+        )
+        self.assertGreater(len(holdings), 0)
+
+    async def test_host_without_peers_serves_on(self):
+        answer = await self.place()
+        self.assertEqual(parse_origin(answer.call.request_id).holder, '')
+        holdings = await self.start_holder('holder')
+        await self.replicator.send_progress()
+        self.assertIsNotNone(holdings.find(answer.call.request_id))
+
+    async def test_progress_reaches_the_holder(self):
+        holdings = await self.start_holder('holder')
+        answer = await self.place()
+        self.grow(answer, 1, 'a', 'b')
+        await self.replicator.send_progress()
+        self.grow(answer, 2, 'c')
+        await self.replicator.send_progress()
+        held = holdings.release(answer.call.request_id)
+        self.assertEqual(held.tokens, ['a', 'b', 'c'])
+        self.assertGreater(held.next_attempt, answer.next_attempt)
+
+    async def test_restarted_holder_gets_the_whole_copy_again(self):
+        holdings = await self.start_holder('holder')
+        answer = await self.place()
+        self.grow(answer, 1, 'a')
+        await self.replicator.send_progress()
+        holdings.release(answer.call.request_id)
+        self.grow(answer, 2, 'b')
+        await self.replicator.send_progress()
+        await self.replicator.send_progress()
+        held = holdings.release(answer.call.request_id)
+        self.assertEqual(held.tokens, ['a', 'b'])
+
+    async def test_owner_stops_once_the_holder_has_taken_over(self):
+        await self.start_holder('holder')
+        answer = await self.place()
+        taken = Answer(answer.call, takeovers=1)
+        self.runner.find_answer.return_value = taken
+        self.grow(answer, 1, 'a')
+        await self.replicator.send_progress()
+        self.assertTrue(answer.handed_over)
+
+    async def test_ended_answer_stays_for_its_caller(self):
+        holdings = await self.start_holder('holder')
+        answer = await self.place()
+        self.grow(answer, 1, 'a')
+        answer.finish()
+        await self.replicator.send_progress()
+        held = holdings.release(answer.call.request_id)
+        self.assertEqual((held.tokens, held.finished), (['a'], True))
+
+    async def test_handing_over_gives_everything_at_once(self):
+        holdings = await self.start_holder('holder')
+        answer = await self.place()
+        self.grow(answer, 1, 'a', 'b')
+        moved = await self.replicator.hand_over([answer])
+        self.assertEqual(moved, 1)
+        self.assertTrue(answer.handed_over)
+        request_id = answer.call.request_id
+        self.runner.take_over.assert_called_once_with(request_id, 'handed_over')
+        self.assertEqual(holdings.release(request_id).tokens, ['a', 'b'])
