--- a/src/monsoonwall/entry/moving.py
+++ b/src/monsoonwall/entry/moving.py
@@ -6,11 +6,12 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 from monsoonwall.clocks import Clock
 from monsoonwall.configuration.model import Configuration, Move
+from monsoonwall.decisions.currency import Work
 from monsoonwall.decisions.evidence import ServerGroups
 from monsoonwall.decisions.moves import (
     Conclusion,
@@ -36,12 +37,21 @@
 
 
 class MovingTask(Observer):
-    """Carry out the moves of the configuration in force."""
+    """Carry out the moves of the configuration in force.
+
+    ``may_work`` tells what may be done under one that may be out of date.
+    """
 
     def __init__(
-        self, board: Board, store: ObjectStore, clock: Clock, host_name: str
+        self,
+        board: Board,
+        store: ObjectStore,
+        clock: Clock,
+        host_name: str,
+        may_work: Callable[[Work], bool],
     ) -> None:
         self._board = board
+        self._may_work = may_work
         share_evidence(board)
         self._conclusions = ConclusionBoard(board)
         self._clock = clock
@@ -150,7 +160,7 @@
     def _advance(self, one: CarriedMove, now_wall: float) -> None:
         one.ledger.publish()
         increment = one.ledger.collect()
-        one.course.advance(increment, now_wall)
+        one.course.advance(increment, now_wall, self._may_work(Work.move_step))
         conclusion = one.course.conclusion
         if conclusion is None and self._keeper.is_unread(one.identity):
             # The version may have been withdrawn before all hosts restarted.
--- a/src/monsoonwall/pipeline/dispatch.py
+++ b/src/monsoonwall/pipeline/dispatch.py
@@ -35,6 +35,7 @@
     VersionChoice,
 )
 
+_SERVER_ERROR: Final = 500
 # New servers of a reclaimed zone take longer, but those of other zones come
 # back into the choice within their load reports and limits.
 _PATIENCE_SECONDS: Final = 20.0
@@ -291,11 +292,6 @@
             return Failure(_VANISHED)
         started = self._clock.read_monotonic()
         reply = await service.send_call(progress.call)
-        ending = (
-            AttemptEnding.completed
-            if is_successful(reply)
-            else reply.failure().ending
-        )
         self._record(
             AttemptRecord(
                 call=progress.call,
@@ -307,7 +303,7 @@
                 tokens=0,
                 prompt_tokens=0,
                 cached_tokens=0,
-                ending=ending,
+                ending=_find_ending(reply),
             )
         )
         return reply
@@ -351,3 +347,14 @@
 
 def _get_refusal(given_up: _GivenUp) -> Refusal:
     return given_up.refusal
+
+
+def _find_ending(
+    reply: Result[ServiceReply, AttemptFailure],
+) -> AttemptEnding:
+    # The caller gets the server's own error, but it counts as a failure.
+    if not is_successful(reply):
+        return reply.failure().ending
+    if reply.unwrap().status >= _SERVER_ERROR:
+        return AttemptEnding.failed
+    return AttemptEnding.completed
