Tell the crashing request from those that began beside it

Two causes were seen in the log. The host of the crashing request probed within a millisecond, when the dying process still accepted, so its crash was taken for a cut and never recorded; the probe is now repeated after 0.2 and 0.5 s. And all broken attempts went on in the same millisecond, so the last started was not always the culprit; a request that had just begun now goes on after the others.

The wave rule looks at one second rather than five, since a request that is sent again quickly looked like a wave.

Routing weighs waiting by one factor; the route's target now decides whether a low price counts.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -61,11 +61,11 @@
         server = max(
             self._servers,
             key=lambda name: (
-                self._caches.find(name).count_known(job.keys),
+                self._caches.find(name).count_known(job.call.prompt.prefix),
                 hash_text(job.keys[-1] + name),
             ),
         )
-        self._caches.find(server).note_dispatch(job.keys)
+        self._caches.find(server).note_dispatch(job.call.prompt.prefix)
         return server
 
     def take_batch(self, server: str, batch: ChangeBatch) -> None:
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -8,7 +8,13 @@
 from dataclasses import replace
 from types import MappingProxyType
 
-from benchmarks.mixes import MIXES, CallMaker, make_configuration, make_specs
+from benchmarks.mixes import (
+    HIVATAL,
+    MIXES,
+    CallMaker,
+    make_configuration,
+    make_specs,
+)
 from benchmarks.policies import (
     LeastLoaded,
     PrefixAffinity,
@@ -20,6 +26,7 @@
 SECONDS = 120
 WARMUP_SECONDS = 30
 SEED = 1
+MICROSECONDS = 1_000_000
 POLICIES = MappingProxyType(
     {
         'round robin': RoundRobin,
@@ -69,7 +76,21 @@
                 )
 
 
+def measure_choice(servers: int) -> float:
+    """Return the processor microseconds of one routed call."""
+    mix = replace(HIVATAL, engines=servers)
+    policy = Weighed(make_configuration(mix), 0)
+    jobs = CallMaker(mix, SEED).make_jobs(((100, 1),))
+    begun = time.process_time()
+    for job in jobs:
+        policy.choose(job, job.arrived)
+    return (time.process_time() - begun) / len(jobs) * MICROSECONDS
+
+
 if __name__ == '__main__':
     started = time.monotonic()
     main()
+    for servers in (9, 24, 400):
+        spent = measure_choice(servers)
+        print(f'{servers} servers: {spent:.0f} us of processor time a choice')
     print(f'took {time.monotonic() - started:.0f} s', file=sys.stderr)
--- a/src/monsoonwall/decisions/cache.py
+++ b/src/monsoonwall/decisions/cache.py
@@ -10,7 +10,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 from hashlib import sha256
 from typing import Final
@@ -60,6 +60,29 @@
     return tuple(keys)
 
 
+@dataclass(frozen=True)
+class PromptKeys:
+    """Hold a prompt's prefix keys, shortest first.
+
+    ``followed`` pairs the keys that views follow with their depth in blocks.
+    """
+
+    keys: tuple[str, ...]
+    followed: tuple[tuple[int, str], ...]
+
+
+def follow_keys(keys: tuple[str, ...]) -> PromptKeys:
+    """Pick the keys that views follow."""
+    return PromptKeys(
+        keys,
+        tuple(
+            (depth, key)
+            for depth, key in enumerate(keys, start=1)
+            if is_sampled(key)
+        ),
+    )
+
+
 def is_sampled(prefix_key: str) -> bool:
     """Tell whether views follow a key, by its last hexadecimal digit."""
     return int(prefix_key[-1], base=_HEXADECIMAL) % _SAMPLING == 0
@@ -91,19 +114,20 @@
             else:
                 self._known.pop(change.prefix_key, None)
 
-    def note_dispatch(self, keys: Sequence[str]) -> None:
+    def note_dispatch(self, prompt: PromptKeys) -> None:
         """Expect the server to hold what it is about to compute."""
-        self._remember(keys)
+        # The ends of prompts are forgotten first: beginnings serve more.
+        self._remember(key for _, key in reversed(prompt.followed))
 
     def learn(
-        self, keys: Sequence[str], guessed_tokens: float, cached_tokens: int
+        self, prompt: PromptKeys, guessed_tokens: float, cached_tokens: int
     ) -> None:
         """Correct the trust by the count that an answer carried."""
         if guessed_tokens > 0:
             hit = min(1, cached_tokens / guessed_tokens)
             self.trust += _TRUST_GAIN * (hit - self.trust)
             self.trust = max(_MIN_TRUST, self.trust)
-        self._remember(keys)
+        self.note_dispatch(prompt)
 
     def forget(self) -> None:
         """Expect an empty cache, as after a restart."""
@@ -111,20 +135,18 @@
         self._number = 0
         self.trust = 1.0
 
-    def count_known(self, keys: Sequence[str]) -> int:
+    def count_known(self, prompt: PromptKeys) -> int:
         """Return the words in the longest prefix believed cached."""
         blocks = 0
-        for depth, key in enumerate(keys, start=1):
-            if not is_sampled(key):
-                continue
+        for depth, key in prompt.followed:
             if key not in self._known:
                 break
             blocks = depth
         return blocks * BLOCK_WORDS
 
-    def estimate_cached(self, keys: Sequence[str]) -> float:
+    def estimate_cached(self, prompt: PromptKeys) -> float:
         """Return the words expected to be cached, weighed by trust."""
-        return self.count_known(keys) * self.trust
+        return self.count_known(prompt) * self.trust
 
     def _note_gap(self, lost: int) -> None:
         # Events are lost before the first one too, but nothing was known.
@@ -134,12 +156,10 @@
             self.trust *= 1 - min(_MAX_GAP_LOSS, doubtful)
             self.trust = max(_MIN_TRUST, self.trust)
 
-    def _remember(self, keys: Sequence[str]) -> None:
-        # The ends of prompts are forgotten first: beginnings serve more.
-        for key in reversed(keys):
-            if is_sampled(key):
-                self._known[key] = None
-                self._known.move_to_end(key)
+    def _remember(self, keys: Iterable[str]) -> None:
+        for key in keys:
+            self._known[key] = None
+            self._known.move_to_end(key)
         while len(self._known) > self._max_keys:
             self._known.popitem(last=False)
 
--- a/src/monsoonwall/decisions/routing.py
+++ b/src/monsoonwall/decisions/routing.py
@@ -29,16 +29,15 @@
 class Weights:
     """State what a second of each kind is worth.
 
-    ``early`` multiplies the wait up to the route's target, ``late`` what is
-    past it. ``recompute`` multiplies the engine time of the prompt, which
-    delays others and evicts what they have cached; ``price`` multiplies the
-    engine time by the server's price. ``far_seconds`` is added in another
-    zone.
+    ``wait`` multiplies the time to the first token. ``recompute`` multiplies
+    the engine time of the prompt, which delays others and evicts what they
+    have cached. ``price`` multiplies the engine time by the server's price,
+    among servers that meet the route's target; one that misses it is charged
+    as if it had the highest price. ``far_seconds`` is added in another zone.
     """
 
-    early: float = 0.5
-    late: float = 1.5
-    recompute: float = 2.0
+    wait: float = 0.5
+    recompute: float = 3.0
     price: float = 0.1
     far_seconds: float = 0.02
 
@@ -56,14 +55,15 @@
 
 @dataclass(frozen=True)
 class Need:
-    """Describe the attempt; ``seed`` and ``affinity`` are hashes."""
+    """Describe the attempt; ``seed`` is a hash of the request."""
 
     prompt_tokens: int
     urgent: bool
     target_seconds: float
     zone: str
     seed: int
-    affinity: str
+    content_key: str
+    highest_price: float = 0
 
 
 def estimate_wait(candidate: Candidate, need: Need) -> float:
@@ -87,14 +87,12 @@
     load = candidate.load
     computing = _measure_computing(candidate, need)
     wait = estimate_wait(candidate, need) + computing
-    late = max(0, wait - need.target_seconds)
     engine_seconds = computing + load.hold_seconds / load.capacity
     far = 0 if candidate.zone == need.zone else weights.far_seconds
     return (
-        weights.early * min(wait, need.target_seconds)
-        + weights.late * late
+        weights.wait * wait
         + weights.recompute * computing
-        + weights.price * engine_seconds * candidate.price_per_hour
+        + weights.price * engine_seconds * _choose_price(candidate, need, wait)
         + far
         + _ISOLATED_SECONDS * bool(load.isolated)
     )
@@ -123,7 +121,7 @@
         key=lambda one: (
             one.load.isolated,
             one.load.in_flight,
-            _hash_pair(need.affinity, one.server),
+            _hash_pair(need.content_key, one.server),
         ),
     )
 
@@ -163,6 +161,13 @@
     return uncached / candidate.load.prefill_rate
 
 
+def _choose_price(candidate: Candidate, need: Need, wait: float) -> float:
+    # What is cheap but late is no bargain.
+    if wait <= need.target_seconds:
+        return candidate.price_per_hour
+    return max(candidate.price_per_hour, need.highest_price)
+
+
 def _measure_tie(candidates: Sequence[Candidate], least: float) -> float:
     oldest = max(one.load.report_age for one in candidates)
     return min(
--- a/src/monsoonwall/decisions/suspects.py
+++ b/src/monsoonwall/decisions/suspects.py
@@ -21,8 +21,13 @@
 CONVICTION_SECONDS: Final = 3600.0
 # Reports of one crash reach the hosts within this time of each other.
 _SAME_CRASH_SECONDS: Final = 5.0
+# A probe and the way of its answer to the other hosts take this long at most.
+_VERDICT_SECONDS: Final = 2.0
+_YOUNG_SECONDS: Final = 1.0
+_YOUNG_PAUSE_SECONDS: Final = 0.5
 # So many servers that crash together were not crashed by one request.
 _WAVE_SERVERS: Final = 3
+_WAVE_SECONDS: Final = 1.0
 
 
 @dataclass(frozen=True)
@@ -83,6 +88,21 @@
     return Suspicion.suspect
 
 
+def measure_pause(record: CrashRecord, spread: float) -> float:
+    """Return how many seconds a broken attempt waits for its next one.
+
+    A request that had just begun when its server crashed is the most likely
+    culprit. It goes on after the others, so that a second crash tells it
+    from them. One that was suspect before waits for the verdict. ``spread``,
+    from 0 to 1, differs by request.
+    """
+    if record.isolated:
+        return _VERDICT_SECONDS
+    if record.crashed_wall - record.started_wall < _YOUNG_SECONDS:
+        return _YOUNG_PAUSE_SECONDS * (1 + spread)
+    return 0
+
+
 def find_last_started(records: Iterable[CrashRecord]) -> CrashRecord:
     """Return the run that most likely caused a crash.
 
@@ -99,22 +119,28 @@
         return False
     if not _is_repeated(findings, record):
         return False
-    together = [
-        other
-        for by_server in findings.crashes.values()
-        for other in by_server.values()
-        if abs(other.crashed_wall - record.crashed_wall) <= _SAME_CRASH_SECONDS
-    ]
-    if len({other.server for other in together}) >= _WAVE_SERVERS:
+    wave = _find_near(findings, record, _WAVE_SECONDS)
+    if len({one.server for one in wave}) >= _WAVE_SERVERS:
         return False
     suspects = [
         other
-        for other in together
+        for other in _find_near(findings, record, _SAME_CRASH_SECONDS)
         if other.server == record.server and _is_repeated(findings, other)
     ]
     return find_last_started(suspects) == record
 
 
+def _find_near(
+    findings: Findings, record: CrashRecord, seconds: float
+) -> list[CrashRecord]:
+    return [
+        other
+        for by_server in findings.crashes.values()
+        for other in by_server.values()
+        if abs(other.crashed_wall - record.crashed_wall) <= seconds
+    ]
+
+
 def _is_repeated(findings: Findings, record: CrashRecord) -> bool:
     """Tell whether the content was suspect before, known there or not."""
     cleared_wall = _find_clear(findings, record.content_key)
--- a/src/monsoonwall/entry/liveness.py
+++ b/src/monsoonwall/entry/liveness.py
@@ -22,6 +22,7 @@
 from monsoonwall.settings import split_address
 
 _PROBE_SECONDS: Final = 1.0
+_PROBE_PAUSES_SECONDS: Final = (0, 0.2, 0.5)
 # A load report tells no deadline; its flag is renewed while it stands.
 _FLAG_SECONDS: Final = 60.0
 _LATE_SECONDS: Final = 30.0
@@ -120,7 +121,13 @@
         described = self._knowledge.configuration.backend_servers.get(server)
         if described is None:
             return Probe.leaving
-        return await probe_address(described.address)
+        # A dying process may close its connections before its listener.
+        for pause in _PROBE_PAUSES_SECONDS:
+            await asyncio.sleep(pause)
+            found = await probe_address(described.address)
+            if found is not Probe.accepts:
+                return found
+        return Probe.accepts
 
 
 async def probe_address(address: str) -> Probe:
--- a/src/monsoonwall/pipeline/knowledge.py
+++ b/src/monsoonwall/pipeline/knowledge.py
@@ -14,7 +14,12 @@
 from monsoonwall.configuration.model import Configuration
 from monsoonwall.decisions.admission import RateMeter
 from monsoonwall.decisions.availability import Availability
-from monsoonwall.decisions.cache import CacheBook, make_prefix_keys
+from monsoonwall.decisions.cache import (
+    CacheBook,
+    PromptKeys,
+    follow_keys,
+    make_prefix_keys,
+)
 from monsoonwall.decisions.load import LoadBook
 from monsoonwall.pipeline.messages import Call
 
@@ -28,7 +33,7 @@
     """Describe a prompt; a word is counted as one token."""
 
     words: int
-    keys: tuple[str, ...]
+    prefix: PromptKeys
 
 
 class ServerKnowledge:
@@ -69,7 +74,8 @@
         prompt = self._prompts.get(call.content_key)
         if prompt is None:
             prompt = Prompt(
-                len(call.prompt.split()), make_prefix_keys(call.prompt)
+                len(call.prompt.split()),
+                follow_keys(make_prefix_keys(call.prompt)),
             )
             self._prompts[call.content_key] = prompt
         return prompt
--- a/src/monsoonwall/pipeline/retrying.py
+++ b/src/monsoonwall/pipeline/retrying.py
@@ -12,6 +12,7 @@
     RetryVerdict,
     plan_retry,
 )
+from monsoonwall.decisions.suspects import measure_pause
 from monsoonwall.metrics import RETRY_VERDICTS
 from monsoonwall.pipeline.messages import (
     AttemptEnding,
@@ -25,8 +26,6 @@
 from monsoonwall.pipeline.screening import SuspectScreening
 from monsoonwall.pipeline.stages import Observer, RetryRule
 
-# A suspect waits until its server was probed and peers had time to tell.
-_PROBE_SECONDS: Final = 2.0
 _RETRY_AFTER_SECONDS: Final = 2.0
 _REASONS: Final = MappingProxyType(
     {
@@ -79,10 +78,10 @@
     def _await_probe(
         self, call: Call, failure: AttemptFailure, now: float
     ) -> float:
-        apart = self._screening.broke_apart(call.content_key)
-        if failure.ending is AttemptEnding.crashed and apart:
-            return now + _PROBE_SECONDS
-        return now
+        broken = self._screening.find_broken(call.content_key)
+        if failure.ending is not AttemptEnding.crashed or broken is None:
+            return now
+        return now + measure_pause(broken, spread_text(call.request_id))
 
 
 def _refuse(
--- a/src/monsoonwall/pipeline/routing.py
+++ b/src/monsoonwall/pipeline/routing.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from monsoonwall.configuration.model import BackendServer, LatencyTarget
-from monsoonwall.decisions.cache import BLOCK_WORDS
+from monsoonwall.decisions.cache import PromptKeys
 from monsoonwall.decisions.hashing import hash_text
 from monsoonwall.decisions.load import Work
 from monsoonwall.decisions.routing import (
@@ -92,8 +92,8 @@
         knowledge = self._knowledge
         prompt = knowledge.find_prompt(call)
         cache = knowledge.caches.find(choice.server)
-        guessed = cache.estimate_cached(prompt.keys)
-        cache.note_dispatch(prompt.keys)
+        guessed = cache.estimate_cached(prompt.prefix)
+        cache.note_dispatch(prompt.prefix)
         work = Work(
             max(0, prompt.words - int(guessed)),
             call.priority is Priority.interactive,
@@ -119,9 +119,9 @@
             availability.note_answer(server)
         if record.first_token_at is None:
             return
-        keys = self._knowledge.find_prompt(record.call).keys
+        prefix = self._knowledge.find_prompt(record.call).prefix
         self._knowledge.caches.find(server).learn(
-            keys, opened.guessed if opened else 0, record.cached_tokens
+            prefix, opened.guessed if opened else 0, record.cached_tokens
         )
         if record.ending is AttemptEnding.completed:
             self._knowledge.loads.find(server).learn_speed(
@@ -156,11 +156,11 @@
             ),
             now,
         )
-        keys = knowledge.find_prompt(call).keys
-        affinities = choose_affinities(keys, call.request_id)
+        prefix = knowledge.find_prompt(call).prefix
+        affinities = choose_affinities(prefix.keys, call.request_id)
         servers = knowledge.configuration.backend_servers
         return [
-            self._describe_candidate(name, servers[name], keys, now)
+            self._describe_candidate(name, servers[name], prefix, now)
             for name in shorten_list(usable, _make_seed(call), affinities)
         ]
 
@@ -168,14 +168,14 @@
         self,
         name: str,
         server: BackendServer,
-        keys: tuple[str, ...],
+        prefix: PromptKeys,
         now: float,
     ) -> Candidate:
         return Candidate(
             name,
             server.zone,
             server.price_per_hour,
-            self._knowledge.caches.find(name).estimate_cached(keys),
+            self._knowledge.caches.find(name).estimate_cached(prefix),
             self._knowledge.loads.find(name).estimate(now),
         )
 
@@ -188,20 +188,10 @@
             target.first_token_seconds,
             self._zone,
             _make_seed(call),
-            self._find_affinity(call, candidates),
+            call.content_key,
+            max(one.price_per_hour for one in candidates),
         )
 
-    def _find_affinity(self, call: Call, candidates: list[Candidate]) -> str:
-        # What is cached anywhere is shared by many prompts. The first block
-        # past it is what tells this prompt's family from the others.
-        keys = self._knowledge.find_prompt(call).keys
-        caches = self._knowledge.caches
-        known = max(
-            caches.find(one.server).count_known(keys) for one in candidates
-        )
-        following = keys[known // BLOCK_WORDS :] or keys[-1:]
-        return following[0] if following else call.request_id
-
 
 @dataclass(frozen=True)
 class _OpenAttempt:
--- a/src/monsoonwall/pipeline/screening.py
+++ b/src/monsoonwall/pipeline/screening.py
@@ -175,10 +175,10 @@
             isolated=record.isolated,
         )
 
-    def broke_apart(self, content_key: str) -> bool:
-        """Tell whether a suspect's attempt broke and is looked into."""
+    def find_broken(self, content_key: str) -> CrashRecord | None:
+        """Return the broken attempt of a content that is looked into."""
         question = self._pending.get(content_key)
-        return question is not None and question.record.isolated
+        return None if question is None else question.record
 
     def _ask(
         self, record: AttemptRecord, started_wall: float, now: float
--- /dev/null
+++ b/tests/pipeline/test_routing.py
@@ -0,0 +1,143 @@
+"""Test what the routing stage counts and whom it passes over."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from monsoonwall.pipeline.messages import (
+    AttemptEnding,
+    Effect,
+    RefusalReason,
+)
+from tests.pipeline.stages import SERVERS, Host, make_call, make_record
+
+servers = st.sampled_from(SERVERS)
+prompts = st.sampled_from(['', 'hand warmer ' * 200, 'dresser setting ' * 300])
+
+
+class RoutingMachine(RuleBasedStateMachine):
+    """Compare the stage's counts with a list of what is running."""
+
+    def __init__(self):
+        super().__init__()
+        self.host = Host()
+        self.running = []
+        self.leaving = {}
+        self.number = 0
+
+    @rule(prompt=prompts, excluded=st.sets(servers))
+    def dispatch(self, prompt, excluded):
+        self.number += 1
+        call = make_call(self.number, prompt, deadline=self.host.now + 1000)
+        now = self.host.now
+        choice = self.host.routing.choose_server(
+            call, 'v1', frozenset(excluded), False, now
+        )
+        staying = {
+            name
+            for name in SERVERS
+            if self.leaving.get(name, 0) <= now and name not in excluded
+        }
+        if staying:
+            chosen = choice.unwrap()
+            assert chosen.server in staying
+            self.host.routing.note_dispatch(call, chosen, now)
+            self.running.append((call, chosen))
+        else:
+            assert choice.failure().reason is RefusalReason.no_server
+
+    @rule(ending=st.sampled_from(list(AttemptEnding)), place=st.integers(0, 9))
+    def finish(self, ending, place):
+        if self.running:
+            call, choice = self.running.pop(place % len(self.running))
+            record = make_record(call, choice, self.host.now, ending)
+            self.host.routing.observe(record)
+
+    @rule(server=servers, seconds=st.floats(1, 60))
+    def give_notice(self, server, seconds):
+        until = self.host.now + seconds
+        self.host.knowledge.availability.note_leaving(server, until)
+        self.leaving[server] = max(until, self.leaving.get(server, until))
+
+    @rule(seconds=st.floats(0.1, 30))
+    def wait(self, seconds):
+        self.host.clock.advance(seconds)
+
+    @rule()
+    def lose_records(self):
+        self.host.clock.advance(2000)
+        self.host.routing.sweep(self.host.now)
+        self.running.clear()
+
+    @invariant()
+    def counts_what_runs(self):
+        for name in SERVERS:
+            track = self.host.knowledge.loads.find(name)
+            expected = sum(one.server == name for _, one in self.running)
+            assert track.own.latest.running == expected
+
+
+class RoutingStageTest(unittest.TestCase):
+    """Route single calls."""
+
+    def test_equal_prompts_come_together(self):
+        host = Host()
+        chosen = set()
+        for number in range(20):
+            call = make_call(number, 'intake record ' * 400)
+            choice = host.routing.choose_server(
+                call, 'v1', frozenset(), False, host.now
+            ).unwrap()
+            host.routing.note_dispatch(call, choice, host.now)
+            host.clock.advance(2)
+            host.routing.observe(make_record(call, choice, host.now))
+            chosen.add(choice.server)
+        self.assertEqual(len(chosen), 1)
+
+    def test_refusal_after_an_attempt_does_not_claim_not_run(self):
+        host = Host()
+        for call, effect in (
+            (make_call(1), Effect.unknown),
+            (make_call(2, idempotent=False), Effect.not_run),
+        ):
+            refusal = host.routing.choose_server(
+                call, 'v1', frozenset(SERVERS), False, host.now
+            ).failure()
+            self.assertIs(refusal.effect, effect)
+
+    def test_crash_convicts_on_the_second_server(self):
+        host = Host()
+        call = make_call(1, 'poison')
+        for _ in range(2):
+            choice = host.routing.choose_server(
+                call, 'v1', frozenset(), False, host.now
+            ).unwrap()
+            host.clock.advance(10)
+            host.screening.observe(
+                make_record(call, choice, host.now, AttemptEnding.crashed)
+            )
+            question = host.screening.questions.get_nowait()
+            host.screening.settle(question, crashed=True)
+        refusal = host.screening.screen(call, host.now).failure()
+        self.assertIs(refusal.reason, RefusalReason.crashing_request)
+        self.assertIs(refusal.effect, Effect.not_run)
+
+    def test_cut_connection_makes_nobody_suspect(self):
+        host = Host()
+        call = make_call(1, 'draft')
+        choice = host.routing.choose_server(
+            call, 'v1', frozenset(), False, host.now
+        ).unwrap()
+        host.screening.observe(
+            make_record(call, choice, host.now, AttemptEnding.crashed)
+        )
+        self.assertTrue(host.screening.screen(call, host.now).unwrap())
+        question = host.screening.questions.get_nowait()
+        host.screening.settle(question, crashed=False)
+        self.assertFalse(host.screening.screen(call, host.now).unwrap())
+
+
+RoutingMachineTest = RoutingMachine.TestCase
+RoutingMachineTest.settings = settings(max_examples=40)
