--- a/src/monsoonwall/streams/moves.py
+++ b/src/monsoonwall/streams/moves.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from cachetools import TTLCache
 from returns.pipeline import is_successful
 
 from monsoonwall.backends.pool import BackendPool
@@ -32,7 +33,9 @@
     ServerChoice,
 )
 
-_LOAD_SECONDS: Final = 0.3
+_MAX_TRIES: Final = 2
+_MAX_FAILED: Final = 10_000
+_KEEP_TRIES_SECONDS: Final = 60
 _CHARACTERS_A_TOKEN: Final = 4
 _RECLAIMED: Final = AttemptFailure(
     AttemptEnding.reclaimed, 'the server is being reclaimed', True
@@ -57,23 +60,23 @@
         self._clock = clock
         self._find_dispatcher = find_dispatcher
         self._costs = costs or MoveCosts()
-        self._shares: dict[str, float] = {}
-        self._transfers: dict[str, set[str]] = {}
+        self._transfers: dict[str, dict[str, int]] = {}
+        self._tries: TTLCache[str, int] = TTLCache(
+            _MAX_FAILED, _KEEP_TRIES_SECONDS
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def move(self, leaving: dict[str, LeavingServer]) -> None:
+    def move(self, leaving: dict[str, LeavingServer]) -> None:
         """Make the moves that are due now; call again until none are left."""
-        for gone in set(self._shares) - set(leaving):
-            self._shares.pop(gone)
-            self._transfers.pop(gone, None)
-        affected = self._group_answers(leaving)
-        async with asyncio.TaskGroup() as group:
-            for name in set(affected) - set(self._shares):
-                group.create_task(self._learn_share(name, len(affected[name])))
-        # Streams came and went while the shares were asked for.
         for server, answers in self._group_answers(leaving).items():
-            if server in self._shares:
-                self._move_off(leaving[server], answers, frozenset(leaving))
+            if server not in self._transfers:
+                self._transfers[server] = {}
+                _log.info(
+                    'Streams must leave a server.',
+                    server=server,
+                    streams=len(answers),
+                )
+            self._move_off(leaving[server], answers, frozenset(leaving))
 
     def _group_answers(
         self, leaving: dict[str, LeavingServer]
@@ -85,37 +88,22 @@
                 affected.setdefault(server, []).append(answer)
         return affected
 
-    async def _learn_share(self, server: str, own: int) -> None:
-        _log.info('Streams must leave a server.', server=server, streams=own)
-        running = await self._read_running(server)
-        self._shares[server] = own / max(own, running)
-
-    async def _read_running(self, server: str) -> int:
-        engine = self._pool.find_engine(server)
-        if engine is None:
-            return 0
-        try:
-            async with asyncio.timeout(_LOAD_SECONDS):
-                load = await engine.read_load()
-        except TimeoutError:
-            return 0
-        return load.map(lambda report: report.running).value_or(0)
-
     def _move_off(
         self,
         notice: LeavingServer,
         affected: list[Answer],
         leaving: frozenset[str],
     ) -> None:
-        under_way = self._transfers.setdefault(notice.server, set())
-        answers = {
-            answer.call.request_id: answer
+        under_way = self._transfers[notice.server]
+        risks = {
+            answer.call.request_id: _describe_risk(answer)
             for answer in affected
             if answer.call.request_id not in under_way
         }
+        answers = {answer.call.request_id: answer for answer in affected}
         plan = plan_moves(
-            [_describe_risk(answer) for answer in answers.values()],
-            self._make_window(notice, len(under_way)),
+            list(risks.values()),
+            self._make_window(notice, sum(under_way.values())),
             self._costs,
         )
         for move in plan:
@@ -126,15 +114,14 @@
                 move.kind is MoveKind.transfer
                 and len(under_way) < self._costs.parallel_transfers
             ):
-                under_way.add(move.request_id)
+                tokens = risks[move.request_id].held_tokens
+                under_way[move.request_id] = tokens
                 self._start(self._transfer(answer, notice, leaving))
 
-    def _make_window(self, notice: LeavingServer, transfers: int) -> MoveWindow:
+    def _make_window(self, notice: LeavingServer, tokens: int) -> MoveWindow:
         now = self._clock.read_monotonic()
         left = notice.deadline_wall - self._clock.read_wall()
-        return MoveWindow(
-            now, now + left, self._shares[notice.server], transfers
-        )
+        return MoveWindow(now, now + left, tokens)
 
     def _start(self, work) -> None:
         task = asyncio.create_task(work)
@@ -157,7 +144,7 @@
         try:
             await self._transfer_from(answer, attempt, notice, leaving)
         finally:
-            self._transfers.get(notice.server, set()).discard(request_id)
+            self._transfers[notice.server].pop(request_id)
 
     async def _transfer_from(
         self,
@@ -176,10 +163,19 @@
             _log.warning('A KV transfer took too long.', server=notice.server)
         if answer.ended or answer.running is not attempt:
             return
+        if not handle and self._may_try_again(answer):
+            return
         kind = MoveKind.transfer if handle else MoveKind.resume
         STREAM_MOVES.labels(kind).inc()
         attempt.interrupt(_make_interruption(target, handle))
 
+    def _may_try_again(self, answer: Answer) -> bool:
+        # The next plan has the stream again, and resumes it if it is late.
+        request_id = answer.call.request_id
+        tries = self._tries.get(request_id, 0) + 1
+        self._tries[request_id] = tries
+        return tries < _MAX_TRIES
+
     async def _copy_cache(
         self,
         answer: Answer,
