Keep each zone's status on the platform; choose test ports apart

Ports: a test got the answer of another program on a port that it had probed (http.client.BadStatusLine in test_calls, with other tests running beside). Probed ports came from the range of outgoing connections; they now lie below.

--- a/src/monsoonwall/configuration/neighbours.py
+++ b/src/monsoonwall/configuration/neighbours.py
@@ -44,6 +44,7 @@
         self._publish_due = now
         self._ranking_due = now
         self.watching = True
+        self.leading = False
         self.count = 1
 
     async def receive(self) -> HostNote:
@@ -77,6 +78,7 @@
         hosts.add(ZoneHost(self._identity.name, self._identity.zone))
         watchers = choose_watchers(hosts, self._identity.zone)
         self.watching = self._identity.name in watchers
+        self.leading = watchers[0] == self._identity.name
 
     def tell(self, note: HostNote, now: float) -> None:
         """Publish a changed note; the watchers' go out without delay."""
--- a/src/monsoonwall/entry/configuring.py
+++ b/src/monsoonwall/entry/configuring.py
@@ -86,6 +86,10 @@
         """Return whether this host may do a kind of work now."""
         return self._force.may_work(work)
 
+    def leads_zone(self) -> bool:
+        """Return whether this host speaks for its zone."""
+        return self._force.serving and self._neighbours.leading
+
     def describe(self) -> ConfigurationReport:
         """Return what is in force here and elsewhere."""
         force = self._force
--- a/src/monsoonwall/entry/host.py
+++ b/src/monsoonwall/entry/host.py
@@ -90,7 +90,7 @@
         running = [
             asyncio.create_task(task.run())
             for task in (
-                self._operating.configuring,
+                self._operating,
                 self._controls,
                 self._moving,
                 self._copying,
--- a/src/monsoonwall/entry/operating.py
+++ b/src/monsoonwall/entry/operating.py
@@ -1,5 +1,6 @@
 """Compose what one host needs to be operated by its configuration."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -18,6 +19,7 @@
 from monsoonwall.pipeline.stages import Admission
 from monsoonwall.platform.budgeted import BudgetedObjectStore, CallRates
 from monsoonwall.platform.http_objects import HttpObjectStore
+from monsoonwall.platform.status import STATUS_PREFIX, StatusWriter
 from monsoonwall.settings import EntrySettings
 
 # Waiting watches must not hold other calls to the platform back.
@@ -54,8 +56,19 @@
         )
         self.reports = Reports()
         self.reports.add_reporter('configuration', self.configuring.describe)
+        self._status = StatusWriter(
+            f'{STATUS_PREFIX}{settings.zone}',
+            self.store,
+            self.reports.describe_status,
+            self.configuring.leads_zone,
+            clock,
+        )
         self.reports.add_explainer('route', RouteExplainer(state).explain)
 
+    async def run(self) -> None:
+        """Follow the configuration and write the status until cancelled."""
+        await asyncio.gather(self.configuring.run(), self._status.run())
+
     def guard(self, following: Admission) -> Admission:
         """Return the rule that refuses what an old configuration must not."""
         return CurrencyAdmission(following, self.configuring.may_work)
--- /dev/null
+++ b/src/monsoonwall/platform/status.py
@@ -0,0 +1,87 @@
+"""Keep the status of a zone on the platform, in one object and few writes."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+from msgspec import json
+from returns.pipeline import is_successful
+
+from monsoonwall.clocks import Clock
+from monsoonwall.decisions.budget import Backoff
+from monsoonwall.platform.objects import (
+    CallReason,
+    ObjectStore,
+    StoreFailure,
+)
+
+STATUS_PREFIX: Final = 'status/'
+_WRITE_SECONDS: Final = 10.0
+_MOST_RETRY_SECONDS: Final = 60.0
+
+
+class StatusWriter:
+    """Write what all parts of a host report, while it writes for its zone.
+
+    Several hosts may write for a moment, when their views of the zone
+    differ; the last write stands, and the next round corrects it.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        store: ObjectStore,
+        describe: Callable[[], Any],
+        writes: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._key = key
+        self._store = store
+        self._describe = describe
+        self._writes = writes
+        self._clock = clock
+        self._backoff = Backoff(_WRITE_SECONDS, _MOST_RETRY_SECONDS)
+        self._version = 0
+
+    async def run(self) -> None:
+        """Write now and then until cancelled."""
+        while True:
+            written = not self._writes() or await self.write()
+            now = self._clock.read_monotonic()
+            until = now + _WRITE_SECONDS
+            if written:
+                self._backoff.succeed()
+            else:
+                until = self._backoff.fail(now, random.random())
+            await asyncio.sleep(until - now)
+
+    async def write(self) -> bool:
+        """Replace the zone's status; return whether it was taken."""
+        content = json.encode(
+            {
+                'written_wall': self._clock.read_wall(),
+                'sections': self._describe(),
+            }
+        )
+        failure = await self._put(content)
+        if failure is StoreFailure.conflict:
+            # Another host wrote for the zone before.
+            found = await self._store.read(self._key, CallReason.status)
+            self._version = found.map(lambda one: one.version).value_or(0)
+            failure = await self._put(content)
+        return failure is None
+
+    async def _put(self, content: bytes) -> StoreFailure | None:
+        if self._version:
+            written = await self._store.update(
+                self._key, content, self._version, CallReason.status
+            )
+        else:
+            written = await self._store.create(
+                self._key, content, CallReason.status
+            )
+        if not is_successful(written):
+            return written.failure()
+        self._version = written.unwrap().version
+        return None
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -5,6 +5,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import json
 from returns.pipeline import is_successful
 from tornado.httpclient import AsyncHTTPClient
 
@@ -13,6 +14,7 @@
 from monsoonwall.platform.budgeted import BudgetedObjectStore, CallRates
 from monsoonwall.platform.http_objects import HttpObjectStore
 from monsoonwall.platform.objects import CallReason, StoreFailure
+from monsoonwall.platform.status import StatusWriter
 from tests.configuration.test_submission import FaultyStore
 from tests.standins.deployment import Deployment, find_free_port
 
@@ -64,6 +66,28 @@
         self.assertLessEqual(backoff.fail(0, 1), 0.2)
 
 
+class StatusTest(unittest.TestCase):
+    """Write a zone's status in one object."""
+
+    def test_writers_in_turn(self):
+        store = FaultyStore()
+        sections = {'moves': ['done']}
+        writers = [
+            StatusWriter(
+                'status/a', store, lambda: sections, bool, ManualClock()
+            )
+            for _ in range(2)
+        ]
+
+        async def write():
+            return [await writers[turn].write() for turn in (0, 1, 1, 0)]
+
+        self.assertTrue(all(asyncio.run(write())))
+        self.assertEqual(store.version, 4)
+        written = json.decode(store.contents[-1])
+        self.assertEqual(written['sections'], sections)
+
+
 class FailureTest(unittest.TestCase):
     """Tell what certainly had no effect from what may have had one."""
 
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import random
 import socket
 import subprocess
 import sys
@@ -19,13 +20,25 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 API_KEY = 'depot-key'
 START_SECONDS = 20
+PORTS = (12_000, 32_000)
+PORT_TRIES = 100
 
 
 def find_free_port():
-    """Return a loopback port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a loopback port that nobody listens on.
+
+    It lies below those that the system gives to outgoing connections, which
+    could take it before its process listens.
+    """
+    for _ in range(PORT_TRIES):
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError('no free port found')
 
 
 @dataclass(frozen=True)
