--- a/src/monsoonwall/decisions/moves.py
+++ b/src/monsoonwall/decisions/moves.py
@@ -109,14 +109,21 @@
         self._verdict = self._judge.decide()
         self._traffic = _Traffic()
         self._full_wall: float | None = None
+        self._held = False
 
     def replan(self, plan: Plan) -> None:
         """Take over other numbers of servers for the same move."""
         self.plan = plan
         self._judge.count_servers(plan.old_servers, plan.new_servers)
 
-    def advance(self, increment: Increment, now_wall: float) -> None:
-        """Take in evidence, and set the share or conclude the move."""
+    def advance(
+        self, increment: Increment, now_wall: float, may_step: bool = True
+    ) -> None:
+        """Take in evidence, and set the share or conclude the move.
+
+        Without ``may_step`` the new version gets no more than before, and
+        the move can't be done; it can still be withdrawn.
+        """
         if self.conclusion is not None:
             return
         self._traffic.add(increment, now_wall)
@@ -126,8 +133,10 @@
             reason = _explain(self._verdict)
             self.conclude(self._conclude(Phase.withdrawn, reason, now_wall))
             return
+        self._held = not may_step
         pace = self._make_pace()
-        self.share = plan_share(pace, now_wall) if pace.fair_share else 0
+        planned = plan_share(pace, now_wall) if pace.fair_share else 0
+        self.share = min(self.share, planned) if self._held else planned
         self._confirm(pace, now_wall)
 
     def conclude(self, conclusion: Conclusion) -> bool:
@@ -174,10 +183,15 @@
     def _explain_wait(self, now_wall: float) -> str:
         if now_wall < self.plan.move.begin_wall:
             return ''
-        if not self.plan.new_servers:
-            return 'no backend server runs the new version'
+        if self._held:
+            return 'held: the configuration may be out of date'
         if self._verdict.suspected:
             return f'more evidence needed: {_explain(self._verdict)}'
+        return self._explain_lack()
+
+    def _explain_lack(self) -> str:
+        if not self.plan.new_servers:
+            return 'no backend server runs the new version'
         if not self._judge.trials:
             return 'no answer from the new version yet'
         if not is_proven(self._make_pace()):
@@ -185,7 +199,7 @@
         return ''
 
     def _confirm(self, pace: Pace, now_wall: float) -> None:
-        if self.share < 1:
+        if self.share < 1 or self._held:
             self._full_wall = None
             return
         if self._full_wall is None:
--- a/tests/entry/test_entry_host_loss.py
+++ b/tests/entry/test_entry_host_loss.py
@@ -98,8 +98,8 @@
     def test_frozen_host(self):
         _, other = self.begin('entry-0')
         self.deployment.signal('entry-0', signal.SIGSTOP)
+        self.addCleanup(self.deployment.kill, 'entry-0')
         self.resume_to_end(other)
-        self.deployment.kill('entry-0')
 
     def test_host_and_holder_killed_one_after_the_other(self):
         holder, other = self.begin('entry-0', tokens=5)
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -4,7 +4,8 @@
 tell a whole answer from a damaged one. POST /control sets ``fail`` (status of
 every completion), ``token_seconds``, ``crash_on`` (a prompt holding this text
 ends the process), ``leaving``, ``foreign`` (answer with another id),
-``disturb`` (send each chunk twice, or leave out every fifth) and
+``disturb`` (send each chunk twice, or leave out every fifth),
+``ignore_cancel`` and
 ``kv_token_seconds`` (time of a KV export). GET tells what ran and how many
 tokens were computed again.
 """
@@ -53,6 +54,7 @@
         self.events = []
         self.kv = {}
         self.fencing = 0
+        self.orders = []
         self.executed = []
         self.recomputed = 0
         self.load = None
@@ -200,7 +202,8 @@
     def post(self):
         order = self.read_json()
         key = (order['request_id'], order['attempt'])
-        self.engine.running.pop(key, None)
+        if not self.engine.control.get('ignore_cancel'):
+            self.engine.running.pop(key, None)
         self.finish(b'{}')
 
 
@@ -240,6 +243,7 @@
     def post(self):
         order = self.read_json()
         number = order['fencing_number']
+        self.engine.orders.append(order)
         if number < self.engine.fencing and not self.engine.control.get(
             'ignore_fencing'
         ):
@@ -266,6 +270,7 @@
             json.encode(
                 {
                     'executed': engine.executed,
+                    'orders': engine.orders,
                     'recomputed': engine.recomputed,
                     'running': len(engine.running),
                 }
