--- a/src/monsoonwall/claims/asking.py
+++ b/src/monsoonwall/claims/asking.py
@@ -7,9 +7,18 @@
 
 from grpc import RpcError
 from grpc.aio import Server, ServicerContext
+from msgspec import json
 
+from monsoonwall.claims.forwarding import decode_wish
+from monsoonwall.claims.writer import JournalWriters
+from monsoonwall.decisions.claims import choose_shard
 from monsoonwall.mesh.peers import Peers
-from monsoonwall.mesh.wire.claims_pb2 import AskReply, AskRequest
+from monsoonwall.mesh.wire.claims_pb2 import (
+    AskReply,
+    AskRequest,
+    SubmitReply,
+    SubmitRequest,
+)
 from monsoonwall.mesh.wire.claims_pb2_grpc import (
     ClaimsServicer,
     ClaimsStub,
@@ -82,8 +91,9 @@
 class ClaimAnswers(ClaimsServicer):
     """Answer the other hosts from this host's memory."""
 
-    def __init__(self, memory: ClaimMemory) -> None:
+    def __init__(self, memory: ClaimMemory, writers: JournalWriters) -> None:
         self._memory = memory
+        self._writers = writers
 
     async def Ask(
         self, request: AskRequest, context: ServicerContext
@@ -97,6 +107,14 @@
             reply.body = report.reply.body
         return reply
 
+    async def Submit(
+        self, request: SubmitRequest, context: ServicerContext
+    ) -> SubmitReply:
+        """Write a wish of another host to its journal."""
+        wish = decode_wish(request.kind, request.wish)
+        writer = self._writers.find_writer(choose_shard(wish.key))
+        return SubmitReply(result=json.encode(await writer.submit(wish)))
+
     def register(self, server: Server) -> None:
         """Add this service to the mesh server."""
         add_ClaimsServicer_to_server(self, server)
--- a/src/monsoonwall/claims/claiming.py
+++ b/src/monsoonwall/claims/claiming.py
@@ -17,7 +17,7 @@
     ClaimState,
     get_maker,
 )
-from monsoonwall.claims.writer import JournalWriter
+from monsoonwall.claims.writer import WishTaker
 from monsoonwall.clocks import Clock
 from monsoonwall.decisions.claims import (
     AnswerWish,
@@ -60,7 +60,7 @@
     def __init__(
         self,
         host_name: str,
-        writers: Callable[[int], JournalWriter],
+        writers: Callable[[int], WishTaker],
         inquiry: ClaimInquiry,
         clock: Clock,
     ) -> None:
--- a/src/monsoonwall/claims/writer.py
+++ b/src/monsoonwall/claims/writer.py
@@ -1,6 +1,7 @@
 """Commit the wishes of one host to one journal, many in one write."""
 
 import asyncio
+from abc import ABC, abstractmethod
 from asyncio import Future, Queue
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -23,6 +24,7 @@
 from monsoonwall.platform.objects import ObjectStore, StoreFailure
 
 MAX_BATCH: Final = 200
+COMMIT_SPACING_SECONDS: Final = 0.05
 MAX_TRIES: Final = 8
 _DOUBTFUL: Final = frozenset((Verdict.held, Verdict.reused))
 _UNAVAILABLE: Final = WishResult(Verdict.unavailable)
@@ -40,7 +42,15 @@
     done: 'Future[WishResult]'
 
 
-class JournalWriter:
+class WishTaker(ABC):
+    """Take wishes for one journal."""
+
+    @abstractmethod
+    async def submit(self, wish: Wish) -> WishResult:
+        """Return what became of a wish."""
+
+
+class JournalWriter(WishTaker):
     """Own one journal on this host and take wishes by message.
 
     A result other than ``unavailable`` rests on a write or a read that the
@@ -48,8 +58,11 @@
     since a write on its way cannot be called back.
     """
 
-    def __init__(self, journal: Journal, clock: Clock) -> None:
+    def __init__(
+        self, journal: Journal, clock: Clock, spacing_seconds: float
+    ) -> None:
         self._journal = journal
+        self._spacing_seconds = spacing_seconds
         self._clock = clock
         self._queue: Queue[_Pending] = Queue()
         self._loaded: LoadedHead | None = None
@@ -71,6 +84,8 @@
                 if not pending.done.done():
                     pending.done.set_result(outcome)
             await self._journal.clean()
+            # What comes meanwhile shares the next write.
+            await asyncio.sleep(self._spacing_seconds)
 
     async def _commit(self, wishes: Sequence[Wish]) -> Sequence[WishResult]:
         for _ in range(MAX_TRIES):
@@ -125,8 +140,14 @@
 class JournalWriters:
     """Start the writer of a shard when it is first needed."""
 
-    def __init__(self, store: ObjectStore, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        spacing_seconds: float = COMMIT_SPACING_SECONDS,
+    ) -> None:
         self._store = store
+        self._spacing_seconds = spacing_seconds
         self._clock = clock
         self._writers: dict[int, JournalWriter] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -134,7 +155,9 @@
     def find_writer(self, shard: int) -> JournalWriter:
         """Return the running writer of a shard."""
         if shard not in self._writers:
-            writer = JournalWriter(Journal(self._store, shard), self._clock)
+            writer = JournalWriter(
+                Journal(self._store, shard), self._clock, self._spacing_seconds
+            )
             self._writers[shard] = writer
             self._tasks.append(asyncio.create_task(writer.run()))
         return self._writers[shard]
--- a/src/monsoonwall/decisions/claims.py
+++ b/src/monsoonwall/decisions/claims.py
@@ -13,7 +13,7 @@
 
 from monsoonwall.pipeline.messages import Call, ServiceReply
 
-SHARD_COUNT = 64
+SHARD_COUNT = 16
 _KEY_HEX_DIGITS = 32
 _HEX_BASE = 16
 
--- a/src/monsoonwall/entry/claiming.py
+++ b/src/monsoonwall/entry/claiming.py
@@ -2,6 +2,7 @@
 
 from monsoonwall.claims.asking import ClaimAnswers, PeerInquiry
 from monsoonwall.claims.claiming import JournalClaiming
+from monsoonwall.claims.forwarding import ForwardedWriters
 from monsoonwall.claims.writer import JournalWriters
 from monsoonwall.clocks import Clock
 from monsoonwall.mesh.peers import Peers, Registrar
@@ -16,9 +17,13 @@
     ) -> None:
         self._writers = JournalWriters(store, clock)
         self.claiming = JournalClaiming(
-            host_name, self._writers.find_writer, PeerInquiry(peers), clock
+            host_name,
+            ForwardedWriters(host_name, peers, self._writers).find_writer,
+            PeerInquiry(peers),
+            clock,
         )
-        self.registrar: Registrar = ClaimAnswers(self.claiming).register
+        answers = ClaimAnswers(self.claiming, self._writers)
+        self.registrar: Registrar = answers.register
 
     async def stop(self, deadline: float) -> None:
         """Write the endings still unwritten, then stop the writers."""
--- a/tests/claims/test_claiming.py
+++ b/tests/claims/test_claiming.py
@@ -83,7 +83,7 @@
         known = self.writers.pop(name, None)
         if known is not None:
             known.close()
-        self.writers[name] = JournalWriters(self.store, self.clock)
+        self.writers[name] = JournalWriters(self.store, self.clock, 0)
         self.claimings[name] = JournalClaiming(
             name,
             self.writers[name].find_writer,
