--- a/benchmarks/move_scenarios.py
+++ b/benchmarks/move_scenarios.py
@@ -274,6 +274,14 @@
             outcome.ending = 'loss'
 
 
+class OneContent(CrashingRequest):
+    """Let one content crash the new version alone."""
+
+    def strike(self, attempt, outcome, random):
+        if attempt.side is Side.new:
+            super().strike(attempt, outcome, random)
+
+
 class SharedFault(Healthy):
     """Let both versions fail for a while, as with a broken dependency."""
 
@@ -304,6 +312,7 @@
         'good, overload': Overload,
         'good, bad host': BadHost,
         'good, bad request': CrashingRequest,
+        'good, one content': OneContent,
         'good, shared fault': SharedFault,
     }
 )
