Cut a host off in the configuration test with a platform of its own

Cause: the test cut a host off by giving it no peers and an outage. Since hosts now register on the platform it found its peers and, rightly, learned the new number over the mesh, so the test no longer cut anything (2 != 1). The host now has a platform of its own that holds the same configuration and goes out at the moment of the cut; what is asked of it is unchanged: it goes on with model calls, keeps its number and refuses reservations once the acceptance has settled.

--- a/tests/entry/test_configuration_processes.py
+++ b/tests/entry/test_configuration_processes.py
@@ -13,8 +13,6 @@
 CALL = {'model': 'hotline', 'prompt': 'hi', 'max_tokens': 3}
 # Far above the seconds in which a change is to be in force everywhere.
 SPREAD_SECONDS = 15
-# After this no watch from before an outage is left waiting.
-WATCH_SECONDS = 3
 
 
 class ConfigurationProcessesTest(unittest.TestCase):
@@ -166,16 +164,12 @@
     def test_cut_host_and_frozen_host(self):
         lone = self.start_lone('entry-3')
         self.assertIsNone(self.reserve('entry-3', 'before'))
-        # Cut: frozen without a call in flight, it wakes into an outage.
-        self.deployment.control('platform', outage=True)
-        time.sleep(WATCH_SECONDS)
-        lone.signal('entry-3', signal.SIGSTOP)
-        self.deployment.control('platform')
+        # From here on the platform and the peers are out of its reach.
+        lone.control('platform', outage=True)
         self.deployment.signal('entry-2', signal.SIGSTOP)
+        self.addCleanup(self.deployment.signal, 'entry-2', signal.SIGCONT)
         outcome = self.patch_next()
         self.assertEqual(outcome['ending'], 'accepted')
-        self.deployment.control('platform', outage=True)
-        lone.signal('entry-3', signal.SIGCONT)
         self.assertEqual(self.call('entry-3'), 200)
         # The settling is stated as a time, so it is waited for.
         time.sleep(max(0, outcome['settled_wall'] - time.time()))
@@ -187,26 +181,30 @@
         self.deployment.signal('entry-2', signal.SIGCONT)
         if self.reserve('entry-2', 'thawed') is None:
             self.assertEqual(self.read_number('entry-2'), self.base + 1)
-        self.deployment.control('platform')
+        self.wait_number(self.base + 1, 'entry-2')
+        self.deployment.ports['entry-3'] = self.known_port
+        self.deployment.start_entry('entry-3', 'zone-a')
         self.wait_number(self.base + 1, *HOSTS)
 
     def start_lone(self, host):
-        """Start a host anew that knows no peer and is known to none."""
+        """Start a host anew that has a platform of its own, and no peer.
+
+        That platform holds what the other one held, so the host confirms
+        its number there until it is cut off.
+        """
         self.deployment.kill(host)
-        lone = self.enterContext(
-            Deployment(ports={'platform': self.deployment.ports['platform']})
+        lone = self.enterContext(Deployment())
+        lone.start_platform()
+        held = self.deployment.send(
+            'platform', 'GET', '/objects/configuration/current'
         )
+        lone.put_configuration(held.read_json())
         lone.start_entry(host, 'zone-a')
         lone.wait_ready(host)
-        self.addCleanup(self.restart_known, host, self.deployment.ports[host])
+        self.known_port = self.deployment.ports[host]
         self.deployment.ports[host] = lone.ports[host]
         return lone
 
-    def restart_known(self, host, port):
-        self.deployment.ports[host] = port
-        self.deployment.start_entry(host, 'zone-a')
-        self.deployment.wait_ready(host)
-
     def test_unreadable_object(self):
         self.deployment.send(
             'platform',
