--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -14,7 +14,7 @@
 SETTLING_SECONDS = 30
 MEASURED_SECONDS = 20
 KEYS = 20
-CHANGES_PER_SECOND = 5
+CHANGES_PER_SECOND = 10
 
 
 @dataclass(frozen=True)
@@ -30,6 +30,7 @@
 SHAPES = (
     Shape('today', 3, 3, 3),
     Shape('largest full exchange', 3, 8, 8),
+    Shape('half of that', 3, 5, 4),
     Shape('wide, 20 a zone', 23, 20, 2),
     Shape('wide, 40 a zone', 23, 40, 2),
     Shape('target: 78 a zone', 23, 78, 2),
--- a/src/monsoonwall/decisions/gossip.py
+++ b/src/monsoonwall/decisions/gossip.py
@@ -27,6 +27,10 @@
 # What a host may receive and send of entries and of zone summaries; the rest
 # of its 24 kB a second is for digests and facts.
 _ENTRY_BYTES_PER_SECOND: Final = 6500
+# In full exchange the rounds come more often, and their digests grow with
+# the fleet; what they leave is for entries.
+_FULL_BYTES_PER_SECOND: Final = 22_000
+_DIGEST_BYTES_PER_HOST: Final = 700
 _SUMMARY_BYTES_PER_SECOND: Final = 3000
 
 
@@ -160,13 +164,16 @@
     return Duty.lead if own.name == relays[0] else Duty.stand_by
 
 
-def limit_entry_rate(near_hosts: int) -> float:
+def limit_entry_rate(near_hosts: int, wide: bool) -> float:
     """Return the bytes of entries a second that one host may publish.
 
     Each host that exchanges fully receives every byte and sends it on about
     once, so the hosts' rates add up to half of what each may spend.
     """
-    return _ENTRY_BYTES_PER_SECOND / 2 / near_hosts
+    spare = _FULL_BYTES_PER_SECOND - _DIGEST_BYTES_PER_HOST * near_hosts
+    least = _ENTRY_BYTES_PER_SECOND
+    spent = least if wide else max(least, spare)
+    return spent / 2 / near_hosts
 
 
 def limit_summary_rate(zones: int) -> float:
--- a/src/monsoonwall/mesh/rounds.py
+++ b/src/monsoonwall/mesh/rounds.py
@@ -123,7 +123,7 @@
             not self._wide or peer.zone == self._store.own.zone
             for peer in peers
         )
-        self.outbox.flush(now, gossip.limit_entry_rate(1 + near))
+        self.outbox.flush(now, gossip.limit_entry_rate(1 + near, self._wide))
         self.summaries.flush(now, gossip.limit_summary_rate(len(zones)))
 
     def _remember(self, peers: Sequence[Peer], now: float) -> None:
