--- a/tests/pipeline/test_effects.py
+++ b/tests/pipeline/test_effects.py
@@ -7,13 +7,14 @@
 import asyncio
 import unittest
 from collections import deque
+from unittest.mock import patch
 
 from hypothesis import given, strategies
 from returns.pipeline import is_successful
 from returns.result import Failure, Success
 
 from monsoonwall.backends.engine import GenerateOrder
-from monsoonwall.clocks import SystemClock
+from monsoonwall.clocks import ManualClock
 from monsoonwall.pipeline.answers import Answer
 from monsoonwall.pipeline.dispatch import Dispatcher, Stages
 from monsoonwall.pipeline.messages import (
@@ -126,7 +127,14 @@
 
 
 class EffectTest(unittest.TestCase):
-    """Drive the dispatcher to its every ending."""
+    """Drive the dispatcher to its every ending, in virtual time."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.enterContext(patch.object(asyncio, 'sleep', self.advance))
+
+    async def advance(self, seconds):
+        self.clock.advance(seconds)
 
     def make(self, names, granted=True):
         routing = _Routing(names)
@@ -139,7 +147,7 @@
             _Claiming(granted),
             (),
         )
-        return Dispatcher(stages, backends, SystemClock()), backends
+        return Dispatcher(stages, backends, self.clock), backends
 
     def send(self, names, idempotent, granted=True):
         dispatcher, backends = self.make(names, granted)
