Let a host stay out of the platform's list

The configuration's test of a cut host starts one that knows no peer; since hosts find each other in the platform's list it learnt of the others there and the test failed (number 2 for 1).

--- a/src/monsoonwall/entry/meshing.py
+++ b/src/monsoonwall/entry/meshing.py
@@ -134,6 +134,7 @@
         self._record = record
         self._planner = planner
         self._address = settings.mesh_address
+        self._listing = settings.platform_listing
         self._channels = Channels()
         self._gossip = GossipTask(
             Exchanger(store), planner, self._channels, clock, record
@@ -158,7 +159,7 @@
         )
         await self._server.start()
         self._running.append(asyncio.create_task(self._gossip.run()))
-        if objects is not None:
+        if objects is not None and self._listing:
             registry = Registry(
                 self._own, self._record.address, self._planner, objects
             )
--- a/src/monsoonwall/settings.py
+++ b/src/monsoonwall/settings.py
@@ -54,6 +54,7 @@
     platform_writes_per_second: float
     cloud_address: str = ''
     lease_seconds: float = 12
+    platform_listing: bool = True
 
 
 @dataclass(frozen=True)
@@ -160,6 +161,7 @@
             ].value,
             cloud_address=values['cloud_address'].value,
             lease_seconds=values['lease_seconds'].value,
+            platform_listing=values['platform_listing'].value,
         )
     )
 
@@ -258,6 +260,12 @@
         flag_values=values,
         lower_bound=1,
     )
+    DEFINE_bool(
+        'platform_listing',
+        True,
+        'Find other entry hosts, and be found, in the list on the platform.',
+        flag_values=values,
+    )
     DEFINE_float(
         'lease_seconds',
         _LEASE_SECONDS,
