--- /dev/null
+++ b/tests/control/test_controlling.py
@@ -0,0 +1,93 @@
+"""Check when a host gives orders at all."""
+
+import asyncio
+import unittest
+from unittest.mock import patch
+
+from returns.result import Success
+
+from monsoonwall.backends.engine import LoadReport
+from monsoonwall.clocks import ManualClock
+from monsoonwall.decisions.currency import Work
+from monsoonwall.entry.controlling import Controlling
+from monsoonwall.settings import (
+    check_entry_settings,
+    define_entry_flags,
+    read_settings,
+)
+from tests.claims.stores import FaultyStore
+from tests.pipeline.stages import SERVERS, make_configuration
+
+TURNS = 400
+FLAGS = (
+    '--host_name=entry-0',
+    '--zone=zone-a',
+    '--platform_address=127.0.0.1:1',
+)
+yield_turn = asyncio.sleep
+
+
+class EmptyEngines:
+    """Stand for engines that lack their version; record their orders."""
+
+    def __init__(self):
+        self.orders = []
+
+    def find_engine(self, name):
+        return self
+
+    async def read_load(self):
+        return Success(LoadReport(0, 0, 8, 0, (), False, 0))
+
+    async def send_order(self, order):
+        self.orders.append(order)
+        return Success(order.fencing_number)
+
+
+class NoPeers:
+    """Stand for a host that knows no other."""
+
+    def list_peers(self):
+        return ()
+
+
+class ControllingTest(unittest.IsolatedAsyncioTestCase):
+    """Run the control work of one host in virtual time."""
+
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        self.enterContext(patch.object(asyncio, 'sleep', self.advance))
+        self.engines = EmptyEngines()
+        self.current = False
+        controlling = Controlling(
+            read_settings(
+                define_entry_flags, check_entry_settings, FLAGS, {}
+            ).unwrap(),
+            FaultyStore(),
+            NoPeers(),
+            self.engines,
+            self.clock,
+            self.may_work,
+        )
+        controlling.adopt(make_configuration())
+        self.running = asyncio.create_task(controlling.run())
+        self.addCleanup(self.running.cancel)
+
+    async def advance(self, seconds):
+        self.clock.advance(max(0, seconds))
+        await yield_turn(0)
+
+    def may_work(self, work):
+        self.assertEqual(work, Work.order)
+        return self.current
+
+    async def run_turns(self):
+        for _ in range(TURNS):
+            await yield_turn(0)
+
+    async def test_no_order_under_an_old_configuration(self):
+        await self.run_turns()
+        self.assertEqual(self.engines.orders, [])
+        self.current = True
+        await self.run_turns()
+        self.assertGreaterEqual(len(self.engines.orders), len(SERVERS))
