Check a caller's key before its body

Cause: an unknown caller was told what is wrong with its JSON. Before: 400 for a wrong key and a wrong body.

--- a/src/monsoonwall/pipeline/acceptance.py
+++ b/src/monsoonwall/pipeline/acceptance.py
@@ -77,13 +77,13 @@
         self, request: CallerRequest, chat: bool, now: float
     ) -> Result[ModelRequest, Refusal]:
         """Return the call of a completion, or why there is none."""
+        workspace = self._find_workspace(request)
+        if workspace is None:
+            return Failure(_refuse_key())
         try:
             completion = json.decode(request.body, type=_Completion)
         except (DecodeError, ValidationError, RecursionError) as error:
             return Failure(_refuse(RefusalReason.bad_request, str(error)))
-        workspace = self._find_workspace(request)
-        if workspace is None:
-            return Failure(_refuse_key())
         route = self._configuration.routes.get(completion.model)
         fault = self._check_completion(completion, route, chat)
         if route is None or fault is not None:
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -62,3 +62,13 @@
         error = reply.read_json()['error']
         self.assertEqual(error['code'], 'unknown_route')
         self.assertEqual(error['effect'], 'not_run')
+
+    def test_unknown_key_is_refused_before_the_body_is_read(self):
+        reply = self.deployment.send(
+            'entry-0',
+            'POST',
+            '/v1/completions',
+            {'model': 7},
+            {'Authorization': 'Bearer nobody'},
+        )
+        self.assertEqual(reply.status, 401)
