Split the choice of servers from dispatch; keep the lone board with the tests

Ruled out: splitting plain calls from model calls, which share the retries. Conclusion: behaviour is unchanged.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -11,12 +11,12 @@
 from monsoonwall.decisions.hashing import hash_text
 from monsoonwall.decisions.load import Report
 from monsoonwall.decisions.routing import Weights
-from monsoonwall.mesh.board import LocalBoard
 from monsoonwall.pipeline.admission import DemandTable, SharedAdmission
 from monsoonwall.pipeline.knowledge import Prompt, ServerKnowledge
 from monsoonwall.pipeline.messages import AttemptRecord, Call
 from monsoonwall.pipeline.routing import WeighedRouting
 from monsoonwall.pipeline.screening import SuspectScreening
+from tests.mesh.boards import LocalBoard
 
 
 class RoundRobin(HostPolicy):
--- a/src/monsoonwall/pipeline/dispatch.py
+++ b/src/monsoonwall/pipeline/dispatch.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
-from functools import partial
 from typing import Final
 
 from returns.pipeline import is_successful
@@ -23,12 +22,11 @@
     AttemptFailure,
     AttemptRecord,
     Call,
-    Effect,
     Refusal,
-    RefusalReason,
     ServerChoice,
     ServiceReply,
 )
+from monsoonwall.pipeline.selection import Progress, ServerSelection
 from monsoonwall.pipeline.stages import (
     Claiming,
     Observer,
@@ -38,10 +36,6 @@
 )
 
 _SERVER_ERROR: Final = 500
-# New servers of a reclaimed zone take longer, but those of other zones come
-# back into the choice within their load reports and limits.
-_SERVER_WAIT_SECONDS: Final = 20.0
-_SERVER_POLL_SECONDS: Final = 0.25
 _VANISHED: Final = AttemptFailure(
     AttemptEnding.unreachable, 'the server left the configuration', False
 )
@@ -58,20 +52,6 @@
     observers: Sequence[Observer]
 
 
-@dataclass(frozen=True)
-class _Progress:
-    """Follow one call over its attempts."""
-
-    call: Call
-    version: str
-    isolated: bool
-    attempt: int = 1
-    excluded: frozenset[str] = frozenset()
-    failures: int = 0
-    target: ServerChoice | None = None
-    kv_handle: str = ''
-
-
 class Dispatcher:
     """Make attempts until a call has its answer or its refusal."""
 
@@ -79,6 +59,7 @@
         self._stages = stages
         self._pool = pool
         self._clock = clock
+        self._selection = ServerSelection(stages.routing, clock)
 
     def choose_version(self, call: Call) -> str:
         """Return the version that the whole answer of a call comes from."""
@@ -89,8 +70,8 @@
         self, answer: Answer, excluded: frozenset[str]
     ) -> Result[ServerChoice, Refusal]:
         """Return another server of the answer's version to move it to."""
-        progress = _Progress(answer.call, answer.version, answer.isolated)
-        return self._choose_among(progress, excluded)
+        progress = Progress(answer.call, answer.version, answer.isolated)
+        return self._selection.choose_among(progress, excluded)
 
     async def run_model_call(
         self, answer: Answer, isolated: bool, attempt: int = 1
@@ -140,10 +121,10 @@
     async def _send(
         self, call: Call, isolated: bool
     ) -> 'Result[ServiceReply, _GivenUp]':
-        progress = _Progress(call, self.choose_version(call), isolated)
+        progress = Progress(call, self.choose_version(call), isolated)
         last = _VANISHED
         while True:
-            choice = self._choose(progress)
+            choice = self._selection.choose(progress)
             if not is_successful(choice):
                 return Failure(_GivenUp(choice.failure(), last))
             reply = await self._send_once(progress, choice.unwrap())
@@ -157,16 +138,16 @@
                 return Failure(_GivenUp(following.failure(), last))
             progress = following.unwrap()
 
-    def _begin(self, answer: Answer, isolated: bool, attempt: int) -> _Progress:
+    def _begin(self, answer: Answer, isolated: bool, attempt: int) -> Progress:
         # An answer keeps its version however often and wherever it resumes.
         answer.version = answer.version or self.choose_version(answer.call)
-        return _Progress(answer.call, answer.version, isolated, attempt)
+        return Progress(answer.call, answer.version, isolated, attempt)
 
     async def _make_attempt(
-        self, answer: Answer, progress: _Progress
-    ) -> Result[_Progress, Refusal] | None:
+        self, answer: Answer, progress: Progress
+    ) -> Result[Progress, Refusal] | None:
         """Return how to go on; None if this run of the call is over."""
-        choice = await self._choose_waiting(progress)
+        choice = await self._selection.choose_waiting(progress)
         if answer.handed_over:
             return None
         if not is_successful(choice):
@@ -178,57 +159,13 @@
             progress, choice.unwrap(), ending, len(answer.tokens)
         )
 
-    async def _choose_waiting(
-        self, progress: _Progress
-    ) -> Result[ServerChoice, Refusal]:
-        """Wait a while for a server if the call has lost one.
-
-        A new call is refused at once instead: nothing of it is lost.
-        """
-        wait = _SERVER_WAIT_SECONDS if progress.excluded else 0
-        give_up_at = min(
-            progress.call.deadline, self._clock.read_monotonic() + wait
-        )
-        while True:
-            choice = self._choose(progress)
-            now = self._clock.read_monotonic()
-            if not _lacks_server(choice) or now >= give_up_at:
-                return choice
-            await asyncio.sleep(_SERVER_POLL_SECONDS)
-
-    def _choose(self, progress: _Progress) -> Result[ServerChoice, Refusal]:
-        if progress.target is not None:
-            return Success(progress.target)
-        choice = self._choose_among(progress, progress.excluded)
-        if progress.call.idempotent and _lacks_server(choice):
-            # Better one that failed before, and may be well again, than none.
-            choice = self._choose_among(progress, frozenset())
-        return choice.alt(partial(_tell_earlier, progress))
-
-    def _choose_among(
-        self, progress: _Progress, excluded: frozenset[str]
-    ) -> Result[ServerChoice, Refusal]:
-        now = self._clock.read_monotonic()
-        choice = self._stages.routing.choose_server(
-            progress.call,
-            progress.version,
-            excluded,
-            progress.isolated,
-            now,
-        )
-        if is_successful(choice):
-            self._stages.routing.note_dispatch(
-                progress.call, choice.unwrap(), now
-            )
-        return choice
-
     async def _follow_interruption(
         self,
-        progress: _Progress,
+        progress: Progress,
         choice: ServerChoice,
         ending: Interruption,
         emitted: int,
-    ) -> Result[_Progress, Refusal]:
+    ) -> Result[Progress, Refusal]:
         if ending.kind is InterruptionKind.failed:
             return await self._follow_failure(
                 progress, choice, ending.failure, emitted
@@ -246,11 +183,11 @@
 
     async def _follow_failure(
         self,
-        progress: _Progress,
+        progress: Progress,
         choice: ServerChoice,
         failure: AttemptFailure,
         emitted: int = 0,
-    ) -> Result[_Progress, Refusal]:
+    ) -> Result[Progress, Refusal]:
         now = self._clock.read_monotonic()
         failures = progress.failures + 1
         decision = self._stages.retries.decide_retry(
@@ -275,7 +212,7 @@
         )
 
     async def _generate(
-        self, answer: Answer, progress: _Progress, choice: ServerChoice
+        self, answer: Answer, progress: Progress, choice: ServerChoice
     ) -> Interruption | None:
         engine = self._pool.find_engine(choice.server)
         if engine is None:
@@ -287,7 +224,7 @@
         return ending
 
     async def _send_once(
-        self, progress: _Progress, choice: ServerChoice
+        self, progress: Progress, choice: ServerChoice
     ) -> Result[ServiceReply, AttemptFailure]:
         service = self._pool.find_service(choice.server)
         if service is None:
@@ -341,24 +278,6 @@
     )
 
 
-def _lacks_server(choice: Result[ServerChoice, Refusal]) -> bool:
-    if is_successful(choice):
-        return False
-    return choice.failure().reason is RefusalReason.no_server
-
-
-def _tell_earlier(progress: _Progress, refusal: Refusal) -> Refusal:
-    # A call that is not idempotent gets here again only if nothing of it ran.
-    # Of any other call an earlier attempt, here or at the host that it was
-    # taken over from, may have run.
-    first = progress.attempt == 1
-    if first or not progress.call.idempotent:
-        return refusal
-    if refusal.effect is not Effect.not_run:
-        return refusal
-    return replace(refusal, effect=Effect.unknown)
-
-
 def _get_refusal(given_up: _GivenUp) -> Refusal:
     return given_up.refusal
 
--- a/tests/entry/test_moves_conclusions.py
+++ b/tests/entry/test_moves_conclusions.py
@@ -19,7 +19,6 @@
 from monsoonwall.decisions.currency import Work
 from monsoonwall.decisions.moves import Conclusion, MoveCourse, Phase, Plan
 from monsoonwall.entry.moving import MovingTask, MovingVersionChoice
-from monsoonwall.mesh.board import LocalBoard
 from monsoonwall.moves.records import (
     CONCLUSION_KIND,
     ConclusionBoard,
@@ -28,6 +27,7 @@
 from monsoonwall.pipeline.messages import AttemptEnding
 from tests.claims.stores import FaultyStore
 from tests.decisions.test_moves_evidence import make_record
+from tests.mesh.boards import LocalBoard
 
 MOVE = Move('assistant', 'v1', 'v2', 1000, 2000)
 WITHDRAWN = Conclusion(Phase.withdrawn, 'wrong answers', 1100, 7)
--- a/tests/pipeline/stages.py
+++ b/tests/pipeline/stages.py
@@ -10,7 +10,6 @@
     Version,
     Workspace,
 )
-from monsoonwall.mesh.board import LocalBoard
 from monsoonwall.pipeline.knowledge import ServerKnowledge
 from monsoonwall.pipeline.messages import (
     AttemptEnding,
@@ -20,6 +19,7 @@
 )
 from monsoonwall.pipeline.routing import WeighedRouting
 from monsoonwall.pipeline.screening import SuspectScreening
+from tests.mesh.boards import LocalBoard
 
 SERVERS = tuple(f'engine-{number}' for number in range(4))
 LIMIT_PER_SECOND = 30
