--- a/src/monsoonwall/platform/__init__.py
+++ b/src/monsoonwall/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Reach the platform: objects, hosts, weights and the live list."""
+"""Reach the platform: objects, hosts and the list of live hosts."""
