Delete expired claim segments only once a written head drops them

Ruled out: a larger retention, which only puts the failure off. Before: test_failed_write_keeps_the_expired_segments fails (the next claim is refused as unavailable). After: it passes; 9 tests of claims pass.

--- a/src/monsoonwall/claims/journal.py
+++ b/src/monsoonwall/claims/journal.py
@@ -90,7 +90,7 @@
     ) -> Result[LoadedHead, StoreFailure]:
         """Write records after a loaded head; a conflict if it is old."""
         head = Head(
-            self._drop_expired(loaded.head.segments, now_wall),
+            _drop_expired(loaded.head.segments, now_wall),
             (*loaded.head.records, *records),
         )
         if len(head.records) > MAX_HEAD_RECORDS:
@@ -99,7 +99,14 @@
                 return Failure(sealed.failure())
             head = sealed.unwrap()
         written = await self._write_head(json.encode(head), loaded.version)
-        return written.map(lambda stored: LoadedHead(head, stored.version))
+        if not is_successful(written):
+            return Failure(written.failure())
+        # Only a written head says that nobody needs the old segments.
+        for segment in loaded.head.segments:
+            if segment not in head.segments:
+                self._segments.pop(segment.key, None)
+                self._expired.append(segment.key)
+        return Success(LoadedHead(head, written.unwrap().version))
 
     async def clean(self) -> None:
         """Delete the segments that the written heads no longer name."""
@@ -147,16 +154,12 @@
         segment = Segment(key, head.records[-1].written_wall)
         return Success(Head((*head.segments, segment), ()))
 
-    def _drop_expired(
-        self, segments: tuple[Segment, ...], now_wall: float
-    ) -> tuple[Segment, ...]:
-        kept = tuple(
-            segment
-            for segment in segments
-            if segment.last_wall + RETENTION_SECONDS > now_wall
-        )
-        for segment in segments:
-            if segment not in kept:
-                self._segments.pop(segment.key, None)
-                self._expired.append(segment.key)
-        return kept
+
+def _drop_expired(
+    segments: tuple[Segment, ...], now_wall: float
+) -> tuple[Segment, ...]:
+    return tuple(
+        segment
+        for segment in segments
+        if segment.last_wall + RETENTION_SECONDS > now_wall
+    )
--- a/tests/claims/test_claiming.py
+++ b/tests/claims/test_claiming.py
@@ -9,7 +9,7 @@
 import asyncio
 import unittest
 from collections import Counter
-from itertools import count
+from itertools import count, islice
 
 from hypothesis import settings, strategies
 from hypothesis.stateful import (
@@ -24,6 +24,7 @@
 from monsoonwall.claims.claiming import JournalClaiming
 from monsoonwall.claims.writer import JournalWriters
 from monsoonwall.clocks import ManualClock
+from monsoonwall.decisions.claims import choose_shard, make_key
 from monsoonwall.pipeline.messages import (
     AttemptEnding,
     AttemptFailure,
@@ -60,6 +61,13 @@
     )
 
 
+def make_shard_calls(wanted):
+    """Return calls whose claims stand in one journal, enough to seal."""
+    calls = (make_call(f'r{at}', f'key-{at}') for at in count())
+    fitting = (call for call in calls if not choose_shard(make_key(call)))
+    return list(islice(fitting, wanted))
+
+
 class Cluster:
     """Hold the hosts, their store and what was executed."""
 
@@ -296,9 +304,19 @@
         )
 
     def test_records_outlast_sealing(self):
-        calls = [make_call(f'r{at}', f'key-{at}') for at in range(600)]
+        calls = make_shard_calls(600)
         for call in calls:
             self.claim('host-a', call)
         for call in calls[::50]:
             again = self.claim('host-b', call)
             self.assertFalse(is_successful(again))
+
+    def test_failed_write_keeps_the_expired_segments(self):
+        calls = make_shard_calls(300)
+        for call in calls[2:]:
+            self.claim('host-a', call)
+        self.assertTrue(any('-' in key for key in self.cluster.store.objects))
+        self.cluster.clock.advance(100_000)
+        self.cluster.store.faults.append('unavailable')
+        self.assertFalse(is_successful(self.claim('host-a', calls[0])))
+        self.assertIsNone(self.claim('host-b', calls[1]).unwrap())
