Report usage and order servers under one lease

The holder of one lease, kept by the project's lease keeper in the platform's store, now freezes each window's counts in the store before it reports them, and orders reclaimable servers up to the most a zone may have, with one lasting server beside them.

--- a/src/monsoonwall/commands/gateway.py
+++ b/src/monsoonwall/commands/gateway.py
@@ -12,11 +12,12 @@
 from monsoonwall.clocks import SystemClock
 from monsoonwall.commands.entry import USAGE_STATUS
 from monsoonwall.findings import Finding, format_findings
-from monsoonwall.gateway.host import Gateway
+from monsoonwall.gateway.host import Gateway, Outside
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.logs import configure_bounded_logs
 from monsoonwall.platform.dialect import PlatformDialect
 from monsoonwall.platform.documents import PlatformCodec
+from monsoonwall.platform.duties import PlatformDuties
 from monsoonwall.platform.machine import read_machine
 from monsoonwall.platform.paths import READY_PATH
 from monsoonwall.platform.store import PlatformStore
@@ -55,11 +56,11 @@
 
 async def _serve(settings: GatewaySettings) -> None:
     clock = SystemClock()
-    await Gateway(
-        settings,
+    outside = Outside(
         PlatformStore(settings.store_address, clock),
         PlatformCodec(),
         PlatformDialect(),
+        PlatformDuties(settings.duties_address),
         READY_PATH,
-        clock,
-    ).run()
+    )
+    await Gateway(settings, outside, clock).run()
--- /dev/null
+++ b/src/monsoonwall/decisions/fleet.py
@@ -0,0 +1,31 @@
+"""Decide how many servers of which kind each zone is to have.
+
+Answers reclaims of whole zones: reclaimable servers cost a fraction, so that
+many of them, spread over the zones, serve more than a few that stay.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+# Servers that cannot be reclaimed, for each zone.
+_LASTING_SERVERS: Final = 1
+
+
+@dataclass(frozen=True)
+class ZoneFleet:
+    """Hold how many servers of each kind a zone has, or is to have."""
+
+    lasting: int
+    spot: int
+
+
+def plan_zones(
+    least: int, most: int, spot_price: float | None, zones: tuple[str, ...]
+) -> Mapping[str, ZoneFleet]:
+    """Return what each zone is to have."""
+    lasting = min(most, max(_LASTING_SERVERS, 0))
+    if spot_price is None:
+        lasting = max(least, lasting)
+    spot = most - lasting if spot_price is not None else 0
+    return dict.fromkeys(zones, ZoneFleet(lasting, spot))
--- a/src/monsoonwall/gateway/entrance.py
+++ b/src/monsoonwall/gateway/entrance.py
@@ -1,7 +1,8 @@
 """Decide whether a request may enter, and under which terms."""
 
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from msgspec import DecodeError, ValidationError, msgpack
@@ -18,12 +19,15 @@
     Service,
     Workspace,
 )
+from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.mesh.board import Board
 from monsoonwall.pipeline.messages import Effect, Refusal, RefusalReason
 
 DEMAND_KIND: Final = 'gateway-demand'
 # Comes back to another host, which may know more.
 _UNREADY_SECONDS: Final = 0.3
+# Part of the tolerance beyond the limits that hosts use for uneven requests.
+_SLACK_PART: Final = 0.8
 
 
 @dataclass(frozen=True)
@@ -51,18 +55,25 @@
         knowledge: Knowledge,
         board: Board,
         clock: Clock,
-        own_name: str,
+        settings: GatewaySettings,
         count_hosts: Callable[[], int],
     ) -> None:
         self._knowledge = knowledge
         self._board = board
         self._clock = clock
-        self._own_name = own_name
+        self._own_name = settings.host_name
+        self._bounds = settings.bounds
         self._count_hosts = count_hosts
         self._allowances: dict[str, Allowance] = {}
-        self._others: dict[str, float] = {}
+        self._others: Counter[str] = Counter()
         self._heard = 1
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the configuration in force, or 0."""
+        catalogue = self._knowledge.catalogue
+        return catalogue.revision if catalogue else 0
+
     def admit(self, request: CallerRequest) -> Result[Admitted, Refusal]:
         """Return the terms of a request, or why it does not enter."""
         catalogue = self._knowledge.catalogue
@@ -115,15 +126,14 @@
             for name, allowance in self._allowances.items()
         }
         self._board.publish_entry(DEMAND_KIND, '', msgpack.encode(demand))
-        others: dict[str, float] = {}
-        entries = self._board.read_entries(DEMAND_KIND)
-        for entry in entries:
-            if entry.origin == self._own_name:
-                continue
-            for name, told in _decode_demand(entry.payload).items():
-                others[name] = others.get(name, 0) + told
+        others: Counter[str] = Counter()
+        hosts = {self._own_name}
+        for entry in self._board.read_entries(DEMAND_KIND):
+            if entry.origin != self._own_name:
+                hosts.add(entry.origin)
+                others.update(_decode_demand(entry.payload))
         self._others = others
-        self._heard = len({entry.origin for entry in entries})
+        self._heard = len(hosts)
 
     def _limit(self, admitted: Admitted) -> Result[Admitted, Refusal]:
         workspace = admitted.workspace
@@ -134,11 +144,11 @@
         allowance = self._allowances.setdefault(workspace.name, Allowance(now))
         share = choose_share(
             allowance.measure_demand(now),
-            self._others.get(workspace.name, 0),
+            self._others[workspace.name],
             self._count_hosts(),
             self._heard,
         )
-        limit = Limit(workspace.rate * share, workspace.burst * share)
+        limit = self._make_limit(workspace, share)
         wait = allowance.take(units, limit, now)
         if wait > 0:
             return _refuse(
@@ -146,20 +156,16 @@
                 f'workspace {workspace.name} is over its limit',
                 wait,
             )
-        return Success(_grant(admitted, units))
-
+        return Success(replace(admitted, granted=units))
 
-def _grant(admitted: Admitted, units: float) -> Admitted:
-    return Admitted(
-        admitted.request,
-        admitted.route,
-        admitted.service,
-        admitted.workspace,
-        admitted.priority,
-        admitted.deadline,
-        admitted.revision,
-        units,
-    )
+    def _make_limit(self, workspace: Workspace, share: float) -> Limit:
+        bounds = self._bounds
+        window = workspace.rate * bounds.limit_window_seconds + workspace.burst
+        slack = window * bounds.limit_overage
+        if workspace.counts_tokens:
+            slack += bounds.limit_slack_tokens
+        even = _SLACK_PART * slack / max(1, self._count_hosts())
+        return Limit(workspace.rate * share, workspace.burst * share + even)
 
 
 def _refuse(
@@ -198,8 +204,8 @@
     return request.tokens
 
 
-def _decode_demand(payload: bytes) -> dict[str, float]:
+def _decode_demand(payload: bytes) -> dict[str, int]:
     try:
-        return msgpack.decode(payload, type=dict[str, float])
+        return msgpack.decode(payload, type=dict[str, int])
     except (DecodeError, ValidationError):
         return {}
--- /dev/null
+++ b/src/monsoonwall/gateway/holding.py
@@ -0,0 +1,102 @@
+"""Hold the lease of the duties on one host at a time."""
+
+import asyncio
+import time
+from typing import Final
+
+from monsoonwall.clocks import SystemClock
+from monsoonwall.control.keeper import LeaseKeeper
+from monsoonwall.decisions.leases import LeaseTiming, choose_candidates
+from monsoonwall.gateway.duties import Holder
+from monsoonwall.gateway.ordering import FleetOrderer
+from monsoonwall.gateway.usage import UsageReporter
+from monsoonwall.logs import make_logger
+from monsoonwall.mesh.peers import Peers
+from monsoonwall.platform.objects import ObjectStore
+
+_SHARD: Final = 'duties'
+_STEP_SECONDS: Final = 0.5
+
+_log = make_logger('duty')
+
+
+class BootClock(SystemClock):
+    """Tell a time that goes on while the machine is suspended."""
+
+    def read_monotonic(self) -> float:
+        """Return seconds since the machine started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class DutyTask:
+    """Want the lease if this host is a candidate, and do its work."""
+
+    def __init__(
+        self,
+        own_name: str,
+        peers: Peers,
+        store: ObjectStore,
+        timing: LeaseTiming,
+        reporter: UsageReporter | None,
+        orderer: FleetOrderer | None,
+    ) -> None:
+        self._own_name = own_name
+        self._peers = peers
+        self._keeper = LeaseKeeper(_SHARD, own_name, store, BootClock(), timing)
+        self._reporter = reporter
+        self._orderer = orderer
+        self._keeping: asyncio.Task[None] | None = None
+        self._number = 0
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        while True:
+            self._follow_candidates()
+            holder = self._find_holder()
+            if holder is not None:
+                await self._work(holder)
+            await asyncio.sleep(_STEP_SECONDS)
+
+    async def release(self) -> None:
+        """Let another host take over at once."""
+        if self._keeping is not None:
+            self._keeping.cancel()
+            self._keeping = None
+            await self._keeper.release()
+
+    def _follow_candidates(self) -> None:
+        hosts = [
+            peer.name for peer in self._peers.list_peers() if not peer.leaving
+        ]
+        candidates = choose_candidates(_SHARD, (*hosts, self._own_name))
+        wanted = self._own_name in candidates
+        if wanted and self._keeping is None:
+            self._keeping = asyncio.create_task(self._keeper.run())
+        elif self._keeping is not None and self._keeping.done():
+            _log.error(
+                'Keeping the lease failed.',
+                reason=repr(self._keeping.exception()),
+            )
+            self._keeping = None
+        elif not wanted and self._keeping is not None:
+            if self._keeper.get_term() is None:
+                self._keeping.cancel()
+                self._keeping = None
+
+    def _find_holder(self) -> Holder | None:
+        term = self._keeper.get_term()
+        if term is None:
+            return None
+        if term.fencing_number != self._number:
+            self._number = term.fencing_number
+            for worker in (self._reporter, self._orderer):
+                if worker is not None:
+                    worker.forget()
+        return Holder(self._own_name, term.fencing_number)
+
+    async def _work(self, holder: Holder) -> None:
+        if self._reporter is not None:
+            await self._reporter.step(holder)
+        # The lease may have ended meanwhile.
+        if self._orderer is not None and self._find_holder() == holder:
+            await self._orderer.step(holder)
--- /dev/null
+++ b/src/monsoonwall/gateway/placing.py
@@ -0,0 +1,113 @@
+"""Find the server for a request, or tell why there is none for it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from random import Random
+from typing import Final
+
+from monsoonwall.clocks import Clock
+from monsoonwall.decisions.hashing import choose_by_hash
+from monsoonwall.decisions.placement import (
+    Candidate,
+    Placement,
+    choose_server,
+)
+from monsoonwall.gateway.journeys import Journey
+from monsoonwall.gateway.knowledge import Knowledge
+from monsoonwall.gateway.loads import LoadBook
+from monsoonwall.gateway.model import BackendServer
+from monsoonwall.pipeline.messages import Refusal, RefusalReason
+
+LEAST_RETRY_SECONDS: Final = 0.2
+_RETRY_SPREAD: Final = 0.5
+
+
+@dataclass(frozen=True)
+class Place:
+    """Name the chosen server and how it looked."""
+
+    server: BackendServer
+    candidate: Candidate
+
+
+class Placer:
+    """Choose among the servers that are known."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        loads: LoadBook,
+        zone: str,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._knowledge = knowledge
+        self._loads = loads
+        self._zone = zone
+        self._clock = clock
+        self._random = random
+
+    def choose(self, journey: Journey) -> Place | Refusal:
+        """Return the place for the next sending, or why there is none."""
+        servers = {
+            server.name: server
+            for server in self._knowledge.list_servers(
+                journey.admitted.service.name
+            )
+            if not server.leaving
+        }
+        candidates = self._describe(journey, servers)
+        placement = choose_server(tuple(candidates.values()))
+        if placement is None:
+            return Refusal(
+                RefusalReason.no_server,
+                journey.effect,
+                'no server of the service is known',
+                self.spread_retry(LEAST_RETRY_SECONDS),
+            )
+        refusal = self._judge_wait(journey, placement)
+        if refusal is not None:
+            return refusal
+        return Place(servers[placement.server], candidates[placement.server])
+
+    def spread_retry(self, seconds: float) -> float:
+        """Return a time to come back, so that callers do not all at once."""
+        return seconds * (1 + _RETRY_SPREAD * self._random.random())
+
+    def _describe(
+        self, journey: Journey, servers: Mapping[str, BackendServer]
+    ) -> dict[str, Candidate]:
+        admitted = journey.admitted
+        prompt = admitted.request.prompt
+        home = ''
+        if servers and prompt is not None and prompt.subject:
+            home = choose_by_hash(prompt.subject, servers)
+        fresh = [name for name in servers if name not in journey.tried]
+        return {
+            name: self._loads.make_candidate(
+                servers[name],
+                prompt,
+                admitted.priority,
+                near=servers[name].zone == self._zone,
+                home=name == home,
+            )
+            for name in fresh or servers
+        }
+
+    def _judge_wait(
+        self, journey: Journey, placement: Placement
+    ) -> Refusal | None:
+        admitted = journey.admitted
+        objective = (
+            admitted.request.received_at + admitted.route.objective_seconds
+        )
+        now = self._clock.read_monotonic()
+        late = now + placement.start_seconds - objective
+        if late <= 0 or journey.endings:
+            return None
+        return Refusal(
+            RefusalReason.overloaded,
+            journey.effect,
+            f'an answer would begin in {placement.start_seconds:.2f} s',
+            self.spread_retry(max(late, LEAST_RETRY_SECONDS)),
+        )
--- /dev/null
+++ b/src/monsoonwall/gateway/serving.py
@@ -0,0 +1,85 @@
+"""Compose the request path of one gateway."""
+
+from random import Random
+
+from monsoonwall.clocks import Clock
+from monsoonwall.entry.meshing import Mesh
+from monsoonwall.gateway.conduct import Conductor, Parts
+from monsoonwall.gateway.dialect import Dialect
+from monsoonwall.gateway.entrance import Entrance
+from monsoonwall.gateway.ingress import Ingress
+from monsoonwall.gateway.knowledge import Knowledge
+from monsoonwall.gateway.loads import LoadBook
+from monsoonwall.gateway.model import Limits
+from monsoonwall.gateway.placing import Placer
+from monsoonwall.gateway.pool import ChannelPool
+from monsoonwall.gateway.repeating import Repeater
+from monsoonwall.gateway.sending import Sender
+from monsoonwall.gateway.settings import GatewaySettings
+from monsoonwall.gateway.usage import UsageBook
+
+
+class Serving:
+    """Own what serves callers, and what its hosts tell each other."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        knowledge: Knowledge,
+        mesh: Mesh,
+        dialect: Dialect,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._own_name = settings.host_name
+        self._knowledge = knowledge
+        self._mesh = mesh
+        self._hosts = 1
+        self.pool = ChannelPool(clock)
+        self.usage = UsageBook(
+            mesh.board, clock, settings.host_name, settings.bounds
+        )
+        self._loads = LoadBook(mesh.board, clock)
+        self._entrance = Entrance(
+            knowledge, mesh.board, clock, settings, self.count_hosts
+        )
+        parts = Parts(
+            self._entrance,
+            Placer(knowledge, self._loads, settings.zone, clock, random),
+            Repeater(settings.bounds, clock, self.count_hosts),
+            Sender(self.pool, dialect, clock),
+            self._loads,
+            self.usage,
+            dialect,
+            clock,
+        )
+        self.ingress = Ingress(
+            settings.front_address,
+            dialect,
+            Conductor(parts),
+            clock,
+            self._find_limits,
+        )
+
+    def count_hosts(self) -> int:
+        """Return the most hosts that were known at once."""
+        return self._hosts
+
+    def exchange_loads(self) -> None:
+        """Tell the other hosts of the work here and hear of theirs."""
+        self._loads.listen(self._own_name)
+        self._loads.publish()
+
+    def exchange_counts(self) -> None:
+        """Exchange demand and usage, and forget servers that are gone."""
+        peers = self._mesh.peers.list_peers()
+        self._hosts = max(self._hosts, len(peers) + 1)
+        self._entrance.exchange_demand()
+        self.usage.exchange()
+        servers = self._knowledge.list_all_servers()
+        self._loads.forget_all_but(server.name for server in servers)
+        self.pool.close_all_but(servers)
+
+    def _find_limits(self) -> Limits | None:
+        catalogue = self._knowledge.catalogue
+        return catalogue.limits if catalogue else None
--- a/src/monsoonwall/gateway/settings.py
+++ b/src/monsoonwall/gateway/settings.py
@@ -10,7 +10,9 @@
     ``retry_ratio`` and ``retry_slack`` bound the repeated arrivals at a
     service in any ``retry_window_seconds``: the ratio of its requests, and
     the slack beyond it. ``usage_window_seconds`` is the length of the
-    windows by which usage is reported.
+    windows by which usage is reported. A workspace may exceed its limit in
+    any ``limit_window_seconds`` by ``limit_overage`` of it and, if it counts
+    tokens, by ``limit_slack_tokens``.
     """
 
     drain_seconds: float = 2
@@ -28,6 +30,9 @@
     rollback_seconds: float = 5
     reuse_seconds: float = 10
     pass_seconds: float = 0.12
+    limit_window_seconds: float = 8
+    limit_overage: float = 0
+    limit_slack_tokens: float = 0
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/monsoonwall/gateway/usage.py
@@ -0,0 +1,212 @@
+"""Count the requests that begin, and report each window once."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from msgspec import DecodeError, Struct, ValidationError, json, msgpack
+from returns.pipeline import is_successful
+
+from monsoonwall.clocks import Clock
+from monsoonwall.gateway.duties import (
+    DutyCalls,
+    DutyEnding,
+    Holder,
+    UsageReport,
+)
+from monsoonwall.gateway.settings import Bounds
+from monsoonwall.logs import make_logger
+from monsoonwall.mesh.board import Board
+from monsoonwall.platform.objects import (
+    CallReason,
+    ObjectStore,
+    StoreFailure,
+)
+
+USAGE_KIND: Final = 'gateway-usage'
+_FROZEN_KEY: Final = 'usage/frozen'
+# Windows that hosts tell each other, the current one included.
+_TOLD_WINDOWS: Final = 4
+# Windows whose counts stay in the store, for a holder that takes over.
+_KEPT_WINDOWS: Final = 12
+# Counts of the last moments of a window reach the holder by then.
+_SETTLE_SECONDS: Final = 1.5
+
+_log = make_logger('usage')
+
+Counts = dict[str, int]
+
+
+class _Told(Struct):
+    # Tells two lives of a host apart; their counts add up.
+    started_wall: float
+    windows: dict[int, Counts]
+
+
+class UsageBook:
+    """Hold the counts of all hosts by window."""
+
+    def __init__(
+        self, board: Board, clock: Clock, own_name: str, bounds: Bounds
+    ) -> None:
+        self._board = board
+        self._clock = clock
+        self._own_name = own_name
+        self._seconds = bounds.usage_window_seconds
+        self._told = _Told(clock.read_wall(), {})
+        self._published = b''
+        self._heard: dict[tuple[str, float], dict[int, Counts]] = {}
+
+    def count(self, workspace: str, began_wall: float) -> None:
+        """Count a request that a server began at this Unix time."""
+        window = self._told.windows.setdefault(
+            int(began_wall // self._seconds), {}
+        )
+        window[workspace] = window.get(workspace, 0) + 1
+
+    def exchange(self) -> None:
+        """Tell the other hosts and hear them."""
+        current = int(self._clock.read_wall() // self._seconds)
+        self._told.windows = {
+            number: counts
+            for number, counts in self._told.windows.items()
+            if number > current - _TOLD_WINDOWS
+        }
+        payload = msgpack.encode(self._told)
+        if payload != self._published:
+            self._published = payload
+            self._board.publish_entry(USAGE_KIND, '', payload)
+        for entry in self._board.read_entries(USAGE_KIND):
+            self._hear(entry.origin, entry.payload)
+        self._forget(current - _KEPT_WINDOWS)
+
+    def sum_window(self, number: int) -> Counts:
+        """Return the counts of all hosts in a window."""
+        total: Counts = {}
+        for windows in self._heard.values():
+            for workspace, count in windows.get(number, {}).items():
+                total[workspace] = total.get(workspace, 0) + count
+        return total
+
+    def find_due(self) -> int:
+        """Return the last window whose counts have settled."""
+        settled = self._clock.read_wall() - _SETTLE_SECONDS
+        return int(settled // self._seconds) - 1
+
+    def _hear(self, origin: str, payload: bytes) -> None:
+        try:
+            told = msgpack.decode(payload, type=_Told)
+        except (DecodeError, ValidationError) as error:
+            _log.warning('Damaged counts.', host=origin, reason=str(error))
+            return
+        # Kept also after the host is gone, with what it counted.
+        known = self._heard.setdefault((origin, told.started_wall), {})
+        known.update(told.windows)
+
+    def _forget(self, oldest: int) -> None:
+        self._heard = {
+            life: kept
+            for life, windows in self._heard.items()
+            if (kept := _drop_before(windows, oldest))
+        }
+
+
+class UsageReporter:
+    """Freeze and report the windows while this host holds the duty.
+
+    Counts are written to the store under the condition of the version read
+    before, so that all holders report the same ones.
+    """
+
+    def __init__(
+        self,
+        book: UsageBook,
+        store: ObjectStore,
+        calls: DutyCalls,
+        bounds: Bounds,
+    ) -> None:
+        self._book = book
+        self._store = store
+        self._calls = calls
+        late = bounds.usage_late_seconds / bounds.usage_window_seconds
+        self._late_windows = max(1, int(late))
+        self._version: int | None = None
+        self._frozen: dict[int, Counts] = {}
+        self._reported: set[int] = set()
+
+    def forget(self) -> None:
+        """Read the store again before the next report."""
+        self._version = None
+
+    async def step(self, holder: Holder) -> None:
+        """Report what is due; repeat what has failed with the next step."""
+        due = self._book.find_due()
+        if due in self._reported:
+            return
+        if self._version is None and not await self._read():
+            return
+        if due not in self._frozen and not await self._freeze(due):
+            return
+        first = due - self._late_windows + 1
+        for number in range(first, due + 1):
+            if number in self._frozen and number not in self._reported:
+                await self._report(holder, number)
+        self._reported = {one for one in self._reported if one >= first}
+
+    async def _report(self, holder: Holder, number: int) -> None:
+        report = UsageReport(number, self._frozen[number])
+        ending = await self._calls.report_usage(holder, report)
+        if ending is DutyEnding.done:
+            self._reported.add(number)
+
+    async def _read(self) -> bool:
+        found = await self._store.read(_FROZEN_KEY, CallReason.status)
+        if is_successful(found):
+            stored = found.unwrap()
+            self._version = stored.version
+            self._frozen = _decode_frozen(stored.content)
+            return True
+        if found.failure() is StoreFailure.missing:
+            self._version = 0
+            self._frozen = {}
+            return True
+        return False
+
+    async def _freeze(self, due: int) -> bool:
+        frozen = dict(self._frozen)
+        for number in range(due - self._late_windows + 1, due + 1):
+            counts = self._book.sum_window(number)
+            if counts:
+                frozen.setdefault(number, counts)
+        frozen.setdefault(due, {})
+        kept = _drop_before(frozen, due - _KEPT_WINDOWS)
+        content = json.encode(kept)
+        written = await (
+            self._store.update(
+                _FROZEN_KEY, content, self._version, CallReason.status
+            )
+            if self._version
+            else self._store.create(_FROZEN_KEY, content, CallReason.status)
+        )
+        if not is_successful(written):
+            # The write may have taken effect; read it back.
+            self._version = None
+            return False
+        self._version = written.unwrap().version
+        self._frozen = kept
+        return True
+
+
+def _drop_before(
+    windows: Mapping[int, Counts], oldest: int
+) -> dict[int, Counts]:
+    return {
+        number: counts for number, counts in windows.items() if number >= oldest
+    }
+
+
+def _decode_frozen(content: bytes) -> dict[int, Counts]:
+    try:
+        return json.decode(content, type=dict[int, Counts])
+    except (DecodeError, ValidationError) as error:
+        _log.warning('Frozen counts cannot be read.', reason=str(error))
+        return {}
--- /dev/null
+++ b/src/monsoonwall/platform/duties.py
@@ -0,0 +1,101 @@
+"""Call the platform's duties over HTTP."""
+
+from types import MappingProxyType
+from typing import Any, Final
+
+from msgspec import json
+
+from monsoonwall.gateway.duties import (
+    DutyCalls,
+    DutyEnding,
+    Holder,
+    ServerOrder,
+    UsageReport,
+)
+from monsoonwall.logs import make_logger
+from monsoonwall.metrics import GATEWAY_DUTIES
+from monsoonwall.transport.channels import call
+from monsoonwall.transport.messages import OutgoingRequest
+
+# The platform answers in milliseconds, while it is slow in some hundreds.
+_CALL_SECONDS: Final = 1.0
+_SHOWN_BYTES: Final = 120
+_HOLDER: Final = 'X-Monsoonwall-Duty-Holder'
+_FENCING_NUMBER: Final = 'X-Monsoonwall-Fencing-Token'
+_ENDINGS: Final = MappingProxyType(
+    {
+        200: DutyEnding.done,
+        409: DutyEnding.refused,
+        429: DutyEnding.unavailable,
+        503: DutyEnding.unavailable,
+    }
+)
+
+_log = make_logger('duty')
+
+
+class PlatformDuties(DutyCalls):
+    """Make each call on a channel of its own."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+
+    async def report_usage(
+        self, holder: Holder, report: UsageReport
+    ) -> DutyEnding:
+        """Report a window; repeating the same report does no harm."""
+        return await self._call(
+            holder,
+            '/usage',
+            {'window': report.number, 'counts': dict(report.counts)},
+        )
+
+    async def order_servers(
+        self, holder: Holder, order: ServerOrder
+    ) -> DutyEnding:
+        """Order servers."""
+        told: dict[str, Any] = {
+            'service': order.service,
+            'zone': order.zone,
+            'desired': order.count,
+        }
+        if order.spot:
+            told['spot'] = True
+        return await self._call(holder, '/scale', told)
+
+    async def _call(
+        self, holder: Holder, path: str, told: dict[str, Any]
+    ) -> DutyEnding:
+        request = OutgoingRequest(
+            'POST',
+            path,
+            (
+                (_HOLDER, holder.host_name),
+                (_FENCING_NUMBER, str(holder.fencing_number)),
+                ('Content-Type', 'application/json'),
+            ),
+            json.encode(told),
+        )
+        ending, detail = await self._fetch(request)
+        GATEWAY_DUTIES.labels(path, ending).inc()
+        _log.info(
+            'Duty call ended.',
+            path=path,
+            told=told,
+            fencing_number=holder.fencing_number,
+            ending=ending,
+            detail=detail,
+        )
+        return ending
+
+    async def _fetch(self, request: OutgoingRequest) -> tuple[DutyEnding, str]:
+        try:
+            reply = await call(self._address, request, _CALL_SECONDS)
+        except (ConnectionResetError, TimeoutError) as error:
+            return DutyEnding.lost, repr(error)
+        except OSError as error:
+            return DutyEnding.unavailable, repr(error)
+        status = reply.head.status
+        body = reply.body[:_SHOWN_BYTES].decode(errors='replace')
+        ending = _ENDINGS.get(status, DutyEnding.lost)
+        return ending, f'{status} {body}'
--- a/src/monsoonwall/platform/machine.py
+++ b/src/monsoonwall/platform/machine.py
@@ -41,6 +41,11 @@
     # For how long a part that is read again costs.
     reuse_window_s: float = 10
     pass_ms: float = 120
+    quota_window_s: float = 8
+    # A part of what the limit allows in the window.
+    quota_overage: float = 0
+    # Counted in tokens, as the limits are.
+    quota_slack: float = 0
 
 
 class _Store(Struct):
@@ -129,4 +134,7 @@
         rollback_seconds=told.rollback_ms / _MILLISECONDS,
         reuse_seconds=told.reuse_window_s,
         pass_seconds=told.pass_ms / _MILLISECONDS,
+        limit_window_seconds=told.quota_window_s,
+        limit_overage=told.quota_overage,
+        limit_slack_tokens=told.quota_slack,
     )
