--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -160,11 +160,12 @@
         await self._duties.release()
         await asyncio.sleep(_DROPPED_SECONDS)
         ingress.close_idle()
+        await self._mesh.stop()
+        # A channel that was just accepted may still bring a request.
         while ingress.active and self._clock.read_monotonic() < last:
             await asyncio.sleep(_STEP_SECONDS)
-            ingress.close_idle()
+        ingress.close_idle()
         _log.info('Shutdown done.', requests_left=ingress.active)
-        await self._mesh.stop()
 
 
 async def _repeat(step: Callable[[], None], seconds: float) -> None:
--- a/src/monsoonwall/gateway/usage.py
+++ b/src/monsoonwall/gateway/usage.py
@@ -28,6 +28,8 @@
 _TOLD_WINDOWS: Final = 4
 # Windows whose counts stay in the store, for a holder that takes over.
 _KEPT_WINDOWS: Final = 12
+# A host that has just started hears the counts of the others by then.
+_HEARING_SECONDS: Final = 2.5
 # Counts of the last moments of a window reach the holder by then.
 _SETTLE_SECONDS: Final = 1.5
 
@@ -52,6 +54,7 @@
         self._clock = clock
         self._own_name = own_name
         self._seconds = bounds.usage_window_seconds
+        self._settled_at = clock.read_monotonic() + _HEARING_SECONDS
         self._told = _Told(clock.read_wall(), {})
         self._published = b''
         self._heard: dict[tuple[str, float], dict[int, Counts]] = {}
@@ -63,6 +66,11 @@
         )
         window[workspace] = window.get(workspace, 0) + 1
 
+    @property
+    def settled(self) -> bool:
+        """Tell whether the counts of the other hosts have been heard."""
+        return self._clock.read_monotonic() >= self._settled_at
+
     def exchange(self) -> None:
         """Tell the other hosts and hear them."""
         current = int(self._clock.read_wall() // self._seconds)
@@ -140,7 +148,7 @@
     async def step(self, holder: Holder) -> None:
         """Report what is due; repeat what has failed with the next step."""
         due = self._book.find_due()
-        if due in self._reported:
+        if due in self._reported or not self._book.settled:
             return
         if self._version is None and not await self._read():
             return
--- a/src/monsoonwall/platform/store.py
+++ b/src/monsoonwall/platform/store.py
@@ -178,7 +178,7 @@
         return listed.map(
             lambda found: Listing(
                 tuple(
-                    _make_record(kind, one, deleted_at=None)
+                    _make_record(kind, one)
                     for one in found.objects
                     if _is_followed(kind, one)
                 ),
@@ -196,11 +196,7 @@
         return watched.map(
             lambda found: Listing(
                 tuple(
-                    _make_record(
-                        kind,
-                        event.object,
-                        found.at if event.deleted else None,
-                    )
+                    _make_record(kind, event.object, event.deleted)
                     for event in found.events
                     if _is_followed(kind, event.object)
                 ),
@@ -338,9 +334,13 @@
 
 
 def _make_record(
-    kind: RecordKind, found: _Object, deleted_at: int | None
+    kind: RecordKind, found: _Object, deleted: bool = False
 ) -> Record:
-    name = found.metadata.name
-    if deleted_at is not None:
-        return Record(kind, name, deleted_at, None)
-    return Record(kind, name, found.metadata.revision, bytes(found.spec))
+    # A deletion has a revision of its own, which a new life may follow in
+    # the same answer.
+    return Record(
+        kind,
+        found.metadata.name,
+        found.metadata.revision,
+        None if deleted else bytes(found.spec),
+    )
