--- a/src/monsoonwall/commands/gateway.py
+++ b/src/monsoonwall/commands/gateway.py
@@ -18,6 +18,7 @@
 from monsoonwall.platform.dialect import PlatformDialect
 from monsoonwall.platform.documents import PlatformCodec
 from monsoonwall.platform.duties import PlatformDuties
+from monsoonwall.platform.engines import PlatformEngines
 from monsoonwall.platform.machine import read_machine
 from monsoonwall.platform.paths import READY_PATH
 from monsoonwall.platform.store import PlatformStore
@@ -61,6 +62,7 @@
         PlatformCodec(),
         PlatformDialect(),
         PlatformDuties(settings.duties_address),
+        PlatformEngines(),
         READY_PATH,
     )
     await Gateway(settings, outside, clock).run()
--- a/src/monsoonwall/gateway/conduct.py
+++ b/src/monsoonwall/gateway/conduct.py
@@ -8,7 +8,7 @@
 
 from monsoonwall.clocks import Clock
 from monsoonwall.gateway.callers import Caller
-from monsoonwall.gateway.dialect import Attempt, Dialect
+from monsoonwall.gateway.dialect import Attempt, Continuation, Dialect
 from monsoonwall.gateway.entrance import Entrance
 from monsoonwall.gateway.ingress import RequestHandler
 from monsoonwall.gateway.journeys import Journey, Recorder
@@ -20,6 +20,7 @@
 )
 from monsoonwall.gateway.placing import LEAST_RETRY_SECONDS, Place, Placer
 from monsoonwall.gateway.repeating import Repeater, RepeatVerdict
+from monsoonwall.gateway.runs import Moved, Run, RunBook
 from monsoonwall.gateway.sending import AnswerSink, Sender, SendingResult
 from monsoonwall.gateway.sinks import StreamSink, WholeSink
 from monsoonwall.gateway.usage import UsageBook
@@ -53,6 +54,7 @@
     sender: Sender
     loads: LoadBook
     usage: UsageBook
+    runs: RunBook
     dialect: Dialect
     clock: Clock
 
@@ -97,7 +99,7 @@
             if isinstance(place, Refusal):
                 self._conclude(journey, place)
                 return
-            outcome = await self._send(journey, place)
+            outcome = await self._send_on(journey, place)
             if outcome.ending is AttemptEnding.completed:
                 self._recorder.note_ended(journey, 'answered', 'completed')
                 return
@@ -108,7 +110,30 @@
                 )
                 return
 
-    async def _send(self, journey: Journey, place: Place) -> SendingResult:
+    async def _send_on(self, journey: Journey, place: Place) -> SendingResult:
+        """Send a request, and follow its run where it is moved."""
+        moved: Moved | None = None
+        while True:
+            run = Run(journey, moved.place if moved else place)
+            self._parts.runs.add(run)
+            try:
+                outcome = await self._send(
+                    journey, run.place, moved and moved.continuation
+                )
+            finally:
+                self._parts.runs.drop(run)
+            if outcome.ending is AttemptEnding.completed:
+                return outcome
+            moved = await run.find_move()
+            if moved is None:
+                return outcome
+
+    async def _send(
+        self,
+        journey: Journey,
+        place: Place,
+        continuation: Continuation | None,
+    ) -> SendingResult:
         server = place.server
         work = self._parts.loads.begin(
             server, place.candidate, journey.admitted.priority
@@ -118,7 +143,7 @@
         journey.runs += 1
         try:
             outcome = await self._parts.sender.send(
-                _make_attempt(journey, server),
+                _make_attempt(journey, server, continuation),
                 self._make_sink(journey, server, work),
                 self._choose_first_deadline(journey),
             )
@@ -226,7 +251,11 @@
         caller.finish()
 
 
-def _make_attempt(journey: Journey, server: BackendServer) -> Attempt:
+def _make_attempt(
+    journey: Journey,
+    server: BackendServer,
+    continuation: Continuation | None,
+) -> Attempt:
     admitted = journey.admitted
     workspace = admitted.workspace
     return Attempt(
@@ -239,6 +268,7 @@
         else None,
         last_event_id=journey.progress.last_event_id
         or admitted.request.last_event_id,
+        continuation=continuation,
     )
 
 
--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -12,6 +12,7 @@
 from monsoonwall.entry.meshing import Mesh
 from monsoonwall.gateway.dialect import Dialect
 from monsoonwall.gateway.duties import DutyCalls
+from monsoonwall.gateway.engines import EngineCalls
 from monsoonwall.gateway.following import Follower
 from monsoonwall.gateway.holding import DutyTask
 from monsoonwall.gateway.knowledge import Knowledge
@@ -44,6 +45,7 @@
     codec: RecordCodec
     dialect: Dialect
     duties: DutyCalls
+    engines: EngineCalls
     ready_path: str
 
 
@@ -76,6 +78,7 @@
             self._knowledge,
             self._mesh,
             outside.dialect,
+            outside.engines,
             clock,
             self._random,
         )
@@ -135,6 +138,7 @@
         ).run()
         yield self._duties.run()
         yield self._serving.pool.run()
+        yield self._serving.evacuator.run()
         yield _repeat(self._serving.exchange_loads, _LOAD_SECONDS)
         yield _repeat(self._serving.exchange_counts, _SLOW_SECONDS)
 
--- a/src/monsoonwall/gateway/placing.py
+++ b/src/monsoonwall/gateway/placing.py
@@ -49,13 +49,7 @@
 
     def choose(self, journey: Journey) -> Place | Refusal:
         """Return the place for the next sending, or why there is none."""
-        servers = {
-            server.name: server
-            for server in self._knowledge.list_servers(
-                journey.admitted.service.name
-            )
-            if not server.leaving
-        }
+        servers = self._list_servers(journey)
         candidates = self._describe(journey, servers)
         placement = choose_server(tuple(candidates.values()))
         if placement is None:
@@ -70,10 +64,29 @@
             return refusal
         return Place(servers[placement.server], candidates[placement.server])
 
+    def choose_other(self, journey: Journey, left: str) -> Place | None:
+        """Return where a run that has to leave a server goes on."""
+        servers = self._list_servers(journey)
+        servers.pop(left, None)
+        candidates = self._describe(journey, servers)
+        placement = choose_server(tuple(candidates.values()))
+        if placement is None:
+            return None
+        return Place(servers[placement.server], candidates[placement.server])
+
     def spread_retry(self, seconds: float) -> float:
         """Return a time to come back, so that callers do not all at once."""
         return seconds * (1 + _RETRY_SPREAD * self._random.random())
 
+    def _list_servers(self, journey: Journey) -> dict[str, BackendServer]:
+        return {
+            server.name: server
+            for server in self._knowledge.list_servers(
+                journey.admitted.service.name
+            )
+            if not server.leaving
+        }
+
     def _describe(
         self, journey: Journey, servers: Mapping[str, BackendServer]
     ) -> dict[str, Candidate]:
--- a/src/monsoonwall/gateway/serving.py
+++ b/src/monsoonwall/gateway/serving.py
@@ -7,7 +7,9 @@
 from monsoonwall.entry.meshing import Mesh
 from monsoonwall.gateway.conduct import Conductor, Parts
 from monsoonwall.gateway.dialect import Dialect
+from monsoonwall.gateway.engines import EngineCalls
 from monsoonwall.gateway.entrance import Entrance
+from monsoonwall.gateway.evacuation import Evacuator
 from monsoonwall.gateway.ingress import Ingress
 from monsoonwall.gateway.knowledge import Knowledge
 from monsoonwall.gateway.loads import LoadBook
@@ -15,6 +17,7 @@
 from monsoonwall.gateway.placing import Placer
 from monsoonwall.gateway.pool import ChannelPool
 from monsoonwall.gateway.repeating import Repeater
+from monsoonwall.gateway.runs import RunBook
 from monsoonwall.gateway.sending import Sender
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.gateway.usage import UsageBook
@@ -34,6 +37,7 @@
         knowledge: Knowledge,
         mesh: Mesh,
         dialect: Dialect,
+        engines: EngineCalls,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -50,13 +54,24 @@
         self._entrance = Entrance(
             knowledge, mesh.board, clock, settings, self.count_hosts
         )
+        placer = Placer(knowledge, self._loads, settings.zone, clock, random)
+        runs = RunBook()
+        self.evacuator = Evacuator(
+            knowledge,
+            runs,
+            placer,
+            engines,
+            settings.bounds.drain_seconds,
+            clock,
+        )
         parts = Parts(
             self._entrance,
-            Placer(knowledge, self._loads, settings.zone, clock, random),
+            placer,
             Repeater(settings.bounds, clock, self.count_hosts),
             Sender(self.pool, dialect, clock),
             self._loads,
             self.usage,
+            runs,
             dialect,
             clock,
         )
