--- a/src/monsoonwall/commands/gateway.py
+++ b/src/monsoonwall/commands/gateway.py
@@ -12,16 +12,11 @@
 from monsoonwall.clocks import SystemClock
 from monsoonwall.commands.entry import USAGE_STATUS
 from monsoonwall.findings import Finding, format_findings
-from monsoonwall.gateway.host import Gateway, Outside
+from monsoonwall.gateway.host import Gateway
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.logs import configure_bounded_logs
-from monsoonwall.platform.dialect import PlatformDialect
-from monsoonwall.platform.documents import PlatformCodec
-from monsoonwall.platform.duties import PlatformDuties
-from monsoonwall.platform.engines import PlatformEngines
 from monsoonwall.platform.machine import read_machine
-from monsoonwall.platform.paths import READY_PATH
-from monsoonwall.platform.store import PlatformStore
+from monsoonwall.platform.outside import make_outside
 from monsoonwall.settings import read_settings
 
 
@@ -57,12 +52,4 @@
 
 async def _serve(settings: GatewaySettings) -> None:
     clock = SystemClock()
-    outside = Outside(
-        PlatformStore(settings.store_address, clock),
-        PlatformCodec(),
-        PlatformDialect(),
-        PlatformDuties(settings.duties_address),
-        PlatformEngines(),
-        READY_PATH,
-    )
-    await Gateway(settings, outside, clock).run()
+    await Gateway(settings, make_outside(settings, clock), clock).run()
--- a/src/monsoonwall/decisions/allowances.py
+++ b/src/monsoonwall/decisions/allowances.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+# Part of the burst that has to be there for a request that is larger.
+_NEEDED_PART: Final = 0.3
 # Demand is averaged over about this long.
 _MEMORY_SECONDS: Final = 3.0
 # Weight of an even division beside that by demand, so that demand can move.
@@ -60,8 +62,8 @@
         self._decay(now)
         self._demand += units
         self._fill(limit, now)
-        # A request above the burst has to pass at some time, too.
-        needed = min(units, limit.burst)
+        # Large requests may go into debt, or they would hardly ever pass.
+        needed = min(units, _NEEDED_PART * limit.burst)
         if self._level >= needed:
             self._level -= units
             return 0
@@ -73,7 +75,8 @@
 
     def _fill(self, limit: Limit, now: float) -> None:
         if self._filled_at is None:
-            self._level = limit.burst if self._full else 0
+            part = 1 if self._full else _NEEDED_PART
+            self._level = part * limit.burst
         else:
             gained = limit.rate * max(0, now - self._filled_at)
             self._level = min(limit.burst, self._level + gained)
--- a/src/monsoonwall/decisions/fleet.py
+++ b/src/monsoonwall/decisions/fleet.py
@@ -24,8 +24,7 @@
     least: int, most: int, spot_price: float | None, zones: tuple[str, ...]
 ) -> Mapping[str, ZoneFleet]:
     """Return what each zone is to have."""
-    lasting = min(most, max(_LASTING_SERVERS, 0))
+    lasting = min(most, _LASTING_SERVERS)
     if spot_price is None:
-        lasting = max(least, lasting)
-    spot = most - lasting if spot_price is not None else 0
-    return dict.fromkeys(zones, ZoneFleet(lasting, spot))
+        return dict.fromkeys(zones, ZoneFleet(max(least, lasting), 0))
+    return dict.fromkeys(zones, ZoneFleet(lasting, most - lasting))
--- a/src/monsoonwall/decisions/placement.py
+++ b/src/monsoonwall/decisions/placement.py
@@ -60,20 +60,18 @@
 
 def choose_server(candidates: Sequence[Candidate]) -> Placement | None:
     """Return where a request costs least, None without candidates."""
-    awake = [one for one in candidates if not one.resting] or candidates
-    if not awake:
+    if not candidates:
         return None
-    best = min(awake, key=_weigh)
+    awake = [one for one in candidates if not one.resting]
+    best = min(awake or candidates, key=_weigh)
     return Placement(
         best.server, estimate_start(best), best.running >= best.slots
     )
 
 
 def _weigh(candidate: Candidate) -> tuple[float, str]:
-    cost = (
-        estimate_start(candidate)
-        + _RUNNING_SECONDS * candidate.running / max(1, candidate.slots)
-        + _FAILING_SECONDS * candidate.failing
-        + (0 if candidate.near else _FAR_SECONDS)
-    )
+    distance = 0 if candidate.near else _FAR_SECONDS
+    crowding = _RUNNING_SECONDS * candidate.running / max(1, candidate.slots)
+    failing = _FAILING_SECONDS * candidate.failing
+    cost = estimate_start(candidate) + distance + crowding + failing
     return cost, candidate.server
--- a/src/monsoonwall/entry/meshing.py
+++ b/src/monsoonwall/entry/meshing.py
@@ -19,9 +19,9 @@
 from monsoonwall.mesh.roster import Roster
 from monsoonwall.mesh.rounds import Planner
 from monsoonwall.mesh.server import MeshServer
+from monsoonwall.mesh.settings import MeshSettings
 from monsoonwall.mesh.store import HostRecord, RecordStore
 from monsoonwall.platform.objects import ObjectStore
-from monsoonwall.settings import MeshSettings
 
 _MILLISECONDS: Final = 1000
 
--- a/src/monsoonwall/gateway/conduct.py
+++ b/src/monsoonwall/gateway/conduct.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 from returns.pipeline import is_successful
@@ -18,7 +19,7 @@
     CallerRequest,
     RouteKind,
 )
-from monsoonwall.gateway.placing import LEAST_RETRY_SECONDS, Place, Placer
+from monsoonwall.gateway.placing import Place, Placer
 from monsoonwall.gateway.repeating import Repeater, RepeatVerdict
 from monsoonwall.gateway.runs import Moved, Run, RunBook
 from monsoonwall.gateway.sending import AnswerSink, Sender, SendingResult
@@ -106,7 +107,10 @@
             verdict = self._parts.repeater.decide(journey, outcome)
             if verdict is not RepeatVerdict.allowed:
                 self._conclude(
-                    journey, self._make_refusal(journey, outcome, verdict)
+                    journey,
+                    self._parts.placer.refuse_repeat(
+                        journey, f'{outcome.detail}; not sent again: {verdict}'
+                    ),
                 )
                 return
 
@@ -149,8 +153,7 @@
             )
         finally:
             self._parts.loads.end(server, work)
-        if not outcome.may_have_run:
-            journey.runs -= 1
+        journey.runs -= int(not outcome.may_have_run)
         if outcome.ending is AttemptEnding.failed:
             journey.fallback = outcome.reply
             self._note_begun(journey, server, work)
@@ -163,9 +166,7 @@
     def _make_sink(
         self, journey: Journey, server: BackendServer, work: Work
     ) -> AnswerSink:
-        def begin() -> None:
-            self._note_begun(journey, server, work)
-
+        begin = partial(self._note_begun, journey, server, work)
         dialect = self._parts.dialect
         if journey.admitted.route.kind is RouteKind.streaming:
             return StreamSink(journey.caller, dialect, journey.progress, begin)
@@ -203,21 +204,6 @@
         else:
             health.note_failure()
 
-    def _make_refusal(
-        self, journey: Journey, outcome: SendingResult, verdict: RepeatVerdict
-    ) -> Refusal:
-        detail = f'{outcome.detail}; not sent again: {verdict}'
-        if journey.effect is not Effect.not_run:
-            return Refusal(
-                RefusalReason.outcome_unknown, journey.effect, detail
-            )
-        return Refusal(
-            RefusalReason.overloaded,
-            Effect.not_run,
-            detail,
-            self._parts.placer.spread_retry(LEAST_RETRY_SECONDS),
-        )
-
     def _conclude(self, journey: Journey, refusal: Refusal) -> None:
         caller = journey.caller
         if caller.started:
--- a/src/monsoonwall/gateway/entrance.py
+++ b/src/monsoonwall/gateway/entrance.py
@@ -27,7 +27,7 @@
 # Comes back to another host, which may know more.
 _UNREADY_SECONDS: Final = 0.3
 # Part of the tolerance beyond the limits that hosts use for uneven requests.
-_SLACK_PART: Final = 0.5
+_SLACK_PART: Final = 0.3
 
 
 @dataclass(frozen=True)
--- a/src/monsoonwall/gateway/following.py
+++ b/src/monsoonwall/gateway/following.py
@@ -1,6 +1,7 @@
 """Follow the records of the platform's store."""
 
 import asyncio
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Final
 
@@ -8,6 +9,7 @@
 
 from monsoonwall.clocks import Clock
 from monsoonwall.decisions.budget import Backoff
+from monsoonwall.decisions.hashing import hash_text
 from monsoonwall.gateway.knowledge import Knowledge
 from monsoonwall.gateway.records import RecordKind, RecordSource
 from monsoonwall.logs import make_logger
@@ -21,9 +23,19 @@
 _FIRST_PAUSE_SECONDS: Final = 0.2
 _MOST_PAUSE_SECONDS: Final = 0.8
 
+# Hosts of each zone that watch the store; the others hear from them.
+WATCHERS_PER_ZONE: Final = 2
+_IDLE_SECONDS: Final = 0.5
+
 _log = make_logger('store')
 
 
+def choose_watcher(own: str, zone_hosts: Iterable[str]) -> bool:
+    """Tell whether a host is to watch, given the live hosts of its zone."""
+    ranked = sorted(zone_hosts, key=hash_text)
+    return own in ranked[:WATCHERS_PER_ZONE]
+
+
 class Follower:
     """Keep one kind of record current."""
 
@@ -34,12 +46,14 @@
         knowledge: Knowledge,
         clock: Clock,
         random: Random,
+        should_watch: Callable[[], bool],
     ) -> None:
         self._kind = kind
         self._source = source
         self._knowledge = knowledge
         self._clock = clock
         self._random = random
+        self._should_watch = should_watch
         self._backoff = Backoff(_FIRST_PAUSE_SECONDS, _MOST_PAUSE_SECONDS)
         self._known: int | None = None
         self._reached = True
@@ -47,16 +61,20 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            failure = await (
-                self._list() if self._known is None else self._watch()
-            )
-            if failure is None:
-                self._note_reached()
-            elif failure is StoreFailure.missing:
-                _log.info('History is gone; listing anew.', kind=self._kind)
-                self._known = None
+            if self._known is None or self._should_watch():
+                await self._step()
             else:
-                await self._pause(failure)
+                await asyncio.sleep(_IDLE_SECONDS)
+
+    async def _step(self) -> None:
+        failure = await (self._list() if self._known is None else self._watch())
+        if failure is None:
+            self._note_reached()
+        elif failure is StoreFailure.missing:
+            _log.info('History is gone; listing anew.', kind=self._kind)
+            self._known = None
+        else:
+            await self._pause(failure)
 
     async def _list(self) -> StoreFailure | None:
         listed = await self._source.list_records(self._kind)
@@ -97,3 +115,17 @@
         now = self._clock.read_monotonic()
         until = self._backoff.fail(now, self._random.random())
         await asyncio.sleep(until - now)
+
+
+def make_followers(
+    source: RecordSource,
+    knowledge: Knowledge,
+    clock: Clock,
+    random: Random,
+    should_watch: Callable[[], bool],
+) -> tuple[Follower, ...]:
+    """Return a follower for each kind that a gateway needs."""
+    return tuple(
+        Follower(kind, source, knowledge, clock, random, should_watch)
+        for kind in (RecordKind.catalogue, RecordKind.server)
+    )
--- a/src/monsoonwall/gateway/holding.py
+++ b/src/monsoonwall/gateway/holding.py
@@ -4,12 +4,15 @@
 import time
 from typing import Final
 
-from monsoonwall.clocks import SystemClock
+from monsoonwall.clocks import Clock, SystemClock
 from monsoonwall.control.keeper import LeaseKeeper
 from monsoonwall.decisions.leases import LeaseTiming, choose_candidates
 from monsoonwall.gateway.duties import Holder
+from monsoonwall.gateway.knowledge import Knowledge
 from monsoonwall.gateway.ordering import FleetOrderer
-from monsoonwall.gateway.usage import UsageReporter
+from monsoonwall.gateway.outside import Outside
+from monsoonwall.gateway.settings import GatewaySettings
+from monsoonwall.gateway.usage import UsageBook, UsageReporter
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.peers import Peers
 from monsoonwall.platform.objects import ObjectStore
@@ -69,19 +72,24 @@
             peer.name for peer in self._peers.list_peers() if not peer.leaving
         ]
         candidates = choose_candidates(_SHARD, (*hosts, self._own_name))
-        wanted = self._own_name in candidates
-        if wanted and self._keeping is None:
-            self._keeping = asyncio.create_task(self._keeper.run())
-        elif self._keeping is not None and self._keeping.done():
+        if self._keeping is None:
+            if self._own_name in candidates:
+                self._keeping = asyncio.create_task(self._keeper.run())
+            return
+        if self._keeping.done():
             _log.error(
                 'Keeping the lease failed.',
                 reason=repr(self._keeping.exception()),
             )
             self._keeping = None
-        elif not wanted and self._keeping is not None:
-            if self._keeper.get_term() is None:
-                self._keeping.cancel()
-                self._keeping = None
+        elif self._own_name not in candidates:
+            self._stop_wanting(self._keeping)
+
+    def _stop_wanting(self, keeping: asyncio.Task[None]) -> None:
+        # A holder goes on, so that the duties do not change hands for less.
+        if self._keeper.get_term() is None:
+            keeping.cancel()
+            self._keeping = None
 
     def _find_holder(self) -> Holder | None:
         term = self._keeper.get_term()
@@ -100,3 +108,26 @@
         # The lease may have ended meanwhile.
         if self._orderer is not None and self._find_holder() == holder:
             await self._orderer.step(holder)
+
+
+def make_duties(
+    settings: GatewaySettings,
+    outside: Outside,
+    knowledge: Knowledge,
+    usage: UsageBook,
+    peers: Peers,
+    clock: Clock,
+) -> DutyTask:
+    """Return the task of the duties that the settings name."""
+    reporter = UsageReporter(
+        usage, outside.objects, outside.duties, settings.bounds
+    )
+    orderer = FleetOrderer(knowledge, outside.duties, clock, settings.zones)
+    return DutyTask(
+        settings.host_name,
+        peers,
+        outside.objects,
+        LeaseTiming(settings.bounds.lease_seconds),
+        reporter if settings.reports_usage else None,
+        orderer if settings.orders_servers else None,
+    )
--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -3,52 +3,31 @@
 import asyncio
 import signal
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from random import Random
 from typing import Final
 
 from monsoonwall.clocks import Clock
-from monsoonwall.decisions.leases import LeaseTiming
 from monsoonwall.entry.meshing import Mesh
-from monsoonwall.gateway.dialect import Dialect
-from monsoonwall.gateway.duties import DutyCalls
-from monsoonwall.gateway.engines import EngineCalls
-from monsoonwall.gateway.following import Follower
-from monsoonwall.gateway.holding import DutyTask
+from monsoonwall.gateway.following import choose_watcher, make_followers
+from monsoonwall.gateway.holding import make_duties
 from monsoonwall.gateway.knowledge import Knowledge
-from monsoonwall.gateway.ordering import FleetOrderer
+from monsoonwall.gateway.outside import Outside
 from monsoonwall.gateway.readiness import ReadyServer
-from monsoonwall.gateway.records import RecordCodec, RecordKind
 from monsoonwall.gateway.serving import Serving
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.gateway.spreading import Spreader
-from monsoonwall.gateway.usage import UsageReporter
 from monsoonwall.logs import make_logger
-from monsoonwall.platform.store import PlatformStore
-from monsoonwall.settings import MeshSettings
+from monsoonwall.mesh.settings import MeshSettings
 
 # The balancer asks each second and drops a host after two misses.
 _DROPPED_SECONDS: Final = 2.6
 _LAST_SECONDS: Final = 0.4
-_STEP_SECONDS: Final = 0.05
 _LOAD_SECONDS: Final = 0.25
 _SLOW_SECONDS: Final = 1.0
 
 _log = make_logger('host')
 
 
-@dataclass(frozen=True)
-class Outside:
-    """Hold how a gateway speaks with all that is not a gateway."""
-
-    store: PlatformStore
-    codec: RecordCodec
-    dialect: Dialect
-    duties: DutyCalls
-    engines: EngineCalls
-    ready_path: str
-
-
 class Gateway:
     """Own everything that one gateway runs."""
 
@@ -77,15 +56,28 @@
             settings,
             self._knowledge,
             self._mesh,
-            outside.dialect,
-            outside.engines,
+            outside,
+            clock,
+            self._random,
+        )
+        self._followers = make_followers(
+            outside.records,
+            self._knowledge,
             clock,
             self._random,
+            self._should_watch,
         )
         self._ready = ReadyServer(
             settings.ready_address, outside.ready_path, self._is_ready
         )
-        self._duties = self._make_duties()
+        self._duties = make_duties(
+            settings,
+            outside,
+            self._knowledge,
+            self._serving.usage,
+            self._mesh.peers,
+            clock,
+        )
 
     async def run(self) -> None:
         """Serve until a signal asks for the shutdown."""
@@ -95,7 +87,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         self._ready.listen()
         self._serving.ingress.listen()
-        await self._mesh.start((), self._outside.store)
+        await self._mesh.start((), self._outside.objects)
         running = [asyncio.create_task(task) for task in self._list_tasks()]
         for task in running:
             task.add_done_callback(self._note_task_ended)
@@ -105,34 +97,9 @@
         for task in running:
             task.cancel()
 
-    def _make_duties(self) -> DutyTask:
-        settings = self._settings
-        calls = self._outside.duties
-        store = self._outside.store
-        reporter = UsageReporter(
-            self._serving.usage, store, calls, settings.bounds
-        )
-        orderer = FleetOrderer(
-            self._knowledge, calls, self._clock, settings.zones
-        )
-        return DutyTask(
-            settings.host_name,
-            self._mesh.peers,
-            store,
-            LeaseTiming(settings.bounds.lease_seconds),
-            reporter if settings.reports_usage else None,
-            orderer if settings.orders_servers else None,
-        )
-
     def _list_tasks(self) -> Iterable[asyncio.Future[None]]:
-        for kind in (RecordKind.catalogue, RecordKind.server):
-            yield Follower(
-                kind,
-                self._outside.store,
-                self._knowledge,
-                self._clock,
-                self._random,
-            ).run()
+        for follower in self._followers:
+            yield follower.run()
         yield Spreader(
             self._mesh.board, self._knowledge, self._clock, self._random
         ).run()
@@ -142,6 +109,15 @@
         yield _repeat(self._serving.exchange_loads, _LOAD_SECONDS)
         yield _repeat(self._serving.exchange_counts, _SLOW_SECONDS)
 
+    def _should_watch(self) -> bool:
+        settings = self._settings
+        near = [
+            peer.name
+            for peer in self._mesh.peers.list_peers()
+            if peer.zone == settings.zone and not peer.leaving
+        ]
+        return choose_watcher(settings.host_name, (*near, settings.host_name))
+
     def _is_ready(self) -> bool:
         return (
             self._knowledge.catalogue is not None and not self._leaving.is_set()
@@ -166,8 +142,7 @@
         ingress.close_idle()
         await self._mesh.stop()
         # A channel that was just accepted may still bring a request.
-        while ingress.active and self._clock.read_monotonic() < last:
-            await asyncio.sleep(_STEP_SECONDS)
+        await ingress.wait_idle(last - self._clock.read_monotonic())
         ingress.close_idle()
         _log.info('Shutdown done.', requests_left=ingress.active)
 
--- a/src/monsoonwall/gateway/ingress.py
+++ b/src/monsoonwall/gateway/ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from contextlib import suppress
 from http.client import responses
 from typing import Any, Final
 
@@ -30,7 +31,8 @@
 _IDLE_SECONDS: Final = 90.0
 _BODY_SECONDS: Final = 15.0
 _MAX_HEADER_BYTES: Final = 65_536
-_DEFAULT_LIMITS: Final = Limits(16_384, 4_194_304, 3, 15)
+# What callers may send before a configuration is known, in bytes.
+_DEFAULT_BODY_BYTES: Final = 4_194_304
 
 _log = make_logger('ingress')
 
@@ -101,7 +103,7 @@
         self.busy = True
         self._start_line = start_line
         self._headers = headers
-        most = self._ingress.limits.max_body_bytes
+        most = self._ingress.max_body_bytes
         self.connection.set_max_body_size(most)
         told = headers.get('Content-Length', '')
         if told.isdecimal() and int(told) > most:
@@ -158,6 +160,7 @@
         self._find_limits = find_limits
         self._exchanges: dict[Any, _Exchange] = {}
         self._active = 0
+        self._idle = asyncio.Event()
         self._server = HTTPServer(
             self,
             max_header_size=_MAX_HEADER_BYTES,
@@ -171,9 +174,10 @@
         return self._active
 
     @property
-    def limits(self) -> Limits:
-        """Return what callers may send."""
-        return self._find_limits() or _DEFAULT_LIMITS
+    def max_body_bytes(self) -> int:
+        """Return how large a body may be."""
+        limits = self._find_limits()
+        return limits.max_body_bytes if limits else _DEFAULT_BODY_BYTES
 
     def listen(self) -> None:
         """Accept connections from now on."""
@@ -196,6 +200,14 @@
         """Let each channel end with its present or next answer."""
         self._server.conn_params.no_keep_alive = True
 
+    async def wait_idle(self, seconds: float) -> None:
+        """Wait until no request is being served, at most for some time."""
+        self._idle.clear()
+        if not self._active:
+            return
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._idle.wait(), max(0, seconds))
+
     def close_idle(self) -> None:
         """Accept no connection any more, and close those without request."""
         self._server.stop()
@@ -231,8 +243,13 @@
             )
             caller.cut()
         finally:
-            self._active -= 1
             exchange.busy = False
+            self._note_ended()
+
+    def _note_ended(self) -> None:
+        self._active -= 1
+        if not self._active:
+            self._idle.set()
 
     def refuse(
         self,
--- a/src/monsoonwall/gateway/placing.py
+++ b/src/monsoonwall/gateway/placing.py
@@ -16,9 +16,9 @@
 from monsoonwall.gateway.knowledge import Knowledge
 from monsoonwall.gateway.loads import LoadBook
 from monsoonwall.gateway.model import BackendServer
-from monsoonwall.pipeline.messages import Refusal, RefusalReason
+from monsoonwall.pipeline.messages import Effect, Refusal, RefusalReason
 
-LEAST_RETRY_SECONDS: Final = 0.2
+_LEAST_RETRY_SECONDS: Final = 0.2
 _RETRY_SPREAD: Final = 0.5
 
 
@@ -57,7 +57,7 @@
                 RefusalReason.no_server,
                 journey.effect,
                 'no server of the service is known',
-                self.spread_retry(LEAST_RETRY_SECONDS),
+                self._spread_retry(_LEAST_RETRY_SECONDS),
             )
         refusal = self._judge_wait(journey, placement)
         if refusal is not None:
@@ -74,7 +74,18 @@
             return None
         return Place(servers[placement.server], candidates[placement.server])
 
-    def spread_retry(self, seconds: float) -> float:
+    def refuse_repeat(self, journey: Journey, detail: str) -> Refusal:
+        """Return how a request ends that is not sent again."""
+        if journey.effect is Effect.not_run:
+            return Refusal(
+                RefusalReason.overloaded,
+                Effect.not_run,
+                detail,
+                self._spread_retry(_LEAST_RETRY_SECONDS),
+            )
+        return Refusal(RefusalReason.outcome_unknown, journey.effect, detail)
+
+    def _spread_retry(self, seconds: float) -> float:
         """Return a time to come back, so that callers do not all at once."""
         return seconds * (1 + _RETRY_SPREAD * self._random.random())
 
@@ -122,5 +133,5 @@
             RefusalReason.overloaded,
             journey.effect,
             f'an answer would begin in {placement.start_seconds:.2f} s',
-            self.spread_retry(max(late, LEAST_RETRY_SECONDS)),
+            self._spread_retry(max(late, _LEAST_RETRY_SECONDS)),
         )
--- a/src/monsoonwall/gateway/sending.py
+++ b/src/monsoonwall/gateway/sending.py
@@ -131,9 +131,7 @@
                     AttemptEnding.crashed, 'channel closed without answer'
                 )
             self.facts = self._dialect.read_answer(message)
-            if self.facts.attempt_id == self._attempt.request.attempt_id:
-                return message
-            if self.facts.not_executed and not self.facts.attempt_id:
+            if self._is_own_answer():
                 return message
             if not await self._pass_over(message):
                 break
@@ -141,6 +139,13 @@
             AttemptEnding.malformed, 'the answer belongs to another request'
         )
 
+    def _is_own_answer(self) -> bool:
+        named = self.facts.attempt_id
+        if not named:
+            # A server that is full may refuse before it reads the request.
+            return self.facts.not_executed
+        return named == self._attempt.request.attempt_id
+
     async def _pass_over(self, head: Head) -> bool:
         stray = await self._channel.receive_rest(head)
         if stray.ending is not Ending.complete:
--- a/src/monsoonwall/gateway/serving.py
+++ b/src/monsoonwall/gateway/serving.py
@@ -6,14 +6,13 @@
 from monsoonwall.clocks import Clock
 from monsoonwall.entry.meshing import Mesh
 from monsoonwall.gateway.conduct import Conductor, Parts
-from monsoonwall.gateway.dialect import Dialect
-from monsoonwall.gateway.engines import EngineCalls
 from monsoonwall.gateway.entrance import Entrance
 from monsoonwall.gateway.evacuation import Evacuator
 from monsoonwall.gateway.ingress import Ingress
 from monsoonwall.gateway.knowledge import Knowledge
 from monsoonwall.gateway.loads import LoadBook
 from monsoonwall.gateway.model import Limits
+from monsoonwall.gateway.outside import Outside
 from monsoonwall.gateway.placing import Placer
 from monsoonwall.gateway.pool import ChannelPool
 from monsoonwall.gateway.repeating import Repeater
@@ -22,7 +21,6 @@
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.gateway.usage import UsageBook
 
-
 # Hosts that are assumed before any of the others was met: as many as the
 # larger of today's sites has.
 _UNKNOWN_HOSTS: Final = 9
@@ -36,8 +34,7 @@
         settings: GatewaySettings,
         knowledge: Knowledge,
         mesh: Mesh,
-        dialect: Dialect,
-        engines: EngineCalls,
+        outside: Outside,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -60,7 +57,7 @@
             knowledge,
             runs,
             placer,
-            engines,
+            outside.engines,
             settings.bounds.drain_seconds,
             clock,
         )
@@ -68,16 +65,16 @@
             self._entrance,
             placer,
             Repeater(settings.bounds, clock, self.count_hosts),
-            Sender(self.pool, dialect, clock),
+            Sender(self.pool, outside.dialect, clock),
             self._loads,
             self.usage,
             runs,
-            dialect,
+            outside.dialect,
             clock,
         )
         self.ingress = Ingress(
             settings.front_address,
-            dialect,
+            outside.dialect,
             Conductor(parts),
             clock,
             self._find_limits,
--- a/src/monsoonwall/logs.py
+++ b/src/monsoonwall/logs.py
@@ -3,6 +3,7 @@
 import os
 import sys
 import time
+from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
 from loguru import logger
@@ -67,7 +68,7 @@
                 {'message': 'Lines left out.', 'count': self._left_out}
             )
             self._left_out = 0
-            self._waiting += told + b'\n'
+            self._waiting += _end_line(told)
 
     def _flush(self) -> None:
         try:
@@ -85,13 +86,12 @@
     """Send all logs to standard output, as a bounded number of JSON lines."""
     logger.remove()
     logger.configure(extra={_PART: 'main'})
-    output = BoundedOutput(_STDOUT)
-
-    def write(line: 'Message') -> None:
-        output.write(line.record['message'], _encode_json(line))
-
     logger.add(
-        write, format='{message}', level='INFO', backtrace=False, diagnose=False
+        partial(_write_bounded, BoundedOutput(_STDOUT)),
+        format='{message}',
+        level='INFO',
+        backtrace=False,
+        diagnose=False,
     )
 
 
@@ -115,6 +115,10 @@
     sys.stderr.write(f'{time} {level} [{part}] {sentence}{pairs}\n{rest}')
 
 
+def _write_bounded(output: BoundedOutput, line: 'Message') -> None:
+    output.write(line.record['message'], _encode_json(line))
+
+
 def _write_json(line: 'Message') -> None:
     sys.stderr.write(_encode_json(line).decode())
 
@@ -129,4 +133,8 @@
     }
     if record['exception'] is not None:
         fields['exception'] = str(line)
-    return json.encode(fields, enc_hook=str) + b'\n'
+    return _end_line(json.encode(fields, enc_hook=str))
+
+
+def _end_line(content: bytes) -> bytes:
+    return b'%s\n' % content
--- a/src/monsoonwall/platform/dialect.py
+++ b/src/monsoonwall/platform/dialect.py
@@ -1,5 +1,6 @@
 """Translate requests, attempts and answers from and to the platform's HTTP."""
 
+from http import HTTPStatus
 from types import MappingProxyType
 from typing import Final
 
@@ -225,8 +226,10 @@
     # 503 promises that the request has not run; without that promise the
     # status depends on whether the server failed or time ran out.
     if refusal.effect is Effect.not_run:
-        return 503
-    return 504 if refusal.reason is RefusalReason.deadline_passed else 502
+        return HTTPStatus.SERVICE_UNAVAILABLE
+    if refusal.reason is RefusalReason.deadline_passed:
+        return HTTPStatus.GATEWAY_TIMEOUT
+    return HTTPStatus.BAD_GATEWAY
 
 
 def _list_connection(headers: HTTPHeaders) -> frozenset[str]:
--- /dev/null
+++ b/src/monsoonwall/platform/outside.py
@@ -0,0 +1,28 @@
+"""Compose all that a gateway needs of the users' platform."""
+
+from typing import Final
+
+from monsoonwall.clocks import Clock
+from monsoonwall.gateway.outside import Outside
+from monsoonwall.gateway.settings import GatewaySettings
+from monsoonwall.platform.dialect import PlatformDialect
+from monsoonwall.platform.documents import PlatformCodec
+from monsoonwall.platform.duties import PlatformDuties
+from monsoonwall.platform.engines import PlatformEngines
+from monsoonwall.platform.store import PlatformStore
+
+_READY_PATH: Final = '/monsoonwall/ready'
+
+
+def make_outside(settings: GatewaySettings, clock: Clock) -> Outside:
+    """Return the adapters of one gateway."""
+    store = PlatformStore(settings.store_address, clock)
+    return Outside(
+        objects=store,
+        records=store,
+        codec=PlatformCodec(),
+        dialect=PlatformDialect(),
+        duties=PlatformDuties(settings.duties_address),
+        engines=PlatformEngines(),
+        ready_path=_READY_PATH,
+    )
--- a/src/monsoonwall/platform/store.py
+++ b/src/monsoonwall/platform/store.py
@@ -1,10 +1,10 @@
 """Reach the metadata store of the users' platform."""
 
-from dataclasses import dataclass
-from typing import Any, Final, TypeVar
+from types import MappingProxyType
+from typing import Any, Final
 from urllib.parse import quote, urlencode
 
-from msgspec import DecodeError, Raw, Struct, ValidationError, field, json
+from msgspec import Raw, json
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
@@ -24,11 +24,20 @@
     StoredObject,
     StoreFailure,
 )
+from monsoonwall.platform.store_messages import (
+    StoreChanged,
+    StoreEvent,
+    StoreEvents,
+    StoreListed,
+    StoreObject,
+    decode_answer,
+    decode_each,
+    decode_items,
+)
 from monsoonwall.transport.channels import call
 from monsoonwall.transport.messages import OutgoingRequest, Reply
 
 _log = make_logger('store')
-_Decoded = TypeVar('_Decoded')
 
 # An answer takes milliseconds, hundreds of them while the store is slow.
 _CALL_SECONDS: Final = 1.5
@@ -39,61 +48,26 @@
 _OWN_KIND_PREFIX: Final = 'monsoonwall-'
 # The one object of its kind that is in force.
 _CONFIGURATION: Final = 'main'
-_KINDS: Final = {
-    RecordKind.catalogue: 'config',
-    RecordKind.server: 'servers',
-    RecordKind.move: 'rollouts',
-}
+_KINDS: Final = MappingProxyType(
+    {
+        RecordKind.catalogue: 'config',
+        RecordKind.server: 'servers',
+        RecordKind.move: 'rollouts',
+    }
+)
 _FIRST_FAILURE: Final = 300
 _SHOWN_BYTES: Final = 200
-_FAILURES: Final = {
-    404: StoreFailure.missing,
-    409: StoreFailure.conflict,
-    410: StoreFailure.missing,
-    413: StoreFailure.too_large,
-    429: StoreFailure.unavailable,
-    503: StoreFailure.unavailable,
-}
-
-
-class _Metadata(Struct):
-    name: str = ''
-    revision: int = 0
-
-
-class _Object(Struct):
-    metadata: _Metadata
-    spec: Raw = field(default_factory=lambda: Raw(b'null'))
-
-
-class _Items(Struct):
-    # The store's revision as of this answer.
-    at: int
-    # Decoded one by one, since any of them may come from another writer.
-    items: list[Raw] = field(default_factory=list)
-    has_more: bool = False
-
-
-class _Event(Struct):
-    object: _Object
-    deleted: bool = False
-
-
-class _Events(Struct):
-    at: int
-    events: list[Raw] = field(default_factory=list)
-
-
-@dataclass(frozen=True)
-class _Listed:
-    at: int
-    objects: tuple[_Object, ...]
-
-
-@dataclass(frozen=True)
-class _Changed:
-    at: int
-    events: tuple[_Event, ...]
+_FAILURES: Final = MappingProxyType(
+    {
+        404: StoreFailure.missing,
+        409: StoreFailure.conflict,
+        # The history that a watch would need is gone.
+        410: StoreFailure.missing,
+        413: StoreFailure.too_large,
+        429: StoreFailure.unavailable,
+        503: StoreFailure.unavailable,
+    }
+)
 
 
 class PlatformStore(ObjectStore, RecordSource):
@@ -118,11 +92,11 @@
         self, prefix: str, reason: CallReason
     ) -> Result[tuple[StoredObject, ...], StoreFailure]:
         """Return the objects whose keys begin with a kind's name."""
-        kind = f'{_OWN_KIND_PREFIX}{prefix.rstrip("/")}'
+        kind = _OWN_KIND_PREFIX + prefix.rstrip('/')
         listed = await self._list(kind, reason)
         return listed.map(
             lambda found: tuple(
-                _make_stored(f'{prefix}{one.metadata.name}', one)
+                _make_stored(prefix + one.metadata.name, one)
                 for one in found.objects
             )
         )
@@ -156,9 +130,8 @@
     ) -> Result[StoredObject, StoreFailure]:
         """Wait until the object's version is above ``after``."""
         kind, _, name = key.partition('/')
-        watched = await self._watch(
-            f'{_OWN_KIND_PREFIX}{kind}', after, deadline, reason
-        )
+        own_kind = _OWN_KIND_PREFIX + kind
+        watched = await self._watch(own_kind, after, deadline, reason)
         if not is_successful(watched):
             return Failure(watched.failure())
         changed = [
@@ -206,26 +179,24 @@
 
     async def _list(
         self, kind: str, reason: CallReason
-    ) -> Result[_Listed, StoreFailure]:
-        objects: list[_Object] = []
+    ) -> Result[StoreListed, StoreFailure]:
+        objects: list[StoreObject] = []
         query = ''
         while True:
             request = OutgoingRequest('GET', f'{_OBJECTS}/{kind}{query}', ())
-            page = (await self._fetch(request, reason)).bind(
-                lambda reply: _decode(reply, _Items)
-            )
+            page = (await self._fetch(request, reason)).bind(decode_items)
             if not is_successful(page):
                 return page
             found = page.unwrap()
-            objects.extend(_decode_each(found.items, _Object))
+            objects.extend(decode_each(found.items, StoreObject))
             if not found.has_more or not objects:
-                return Success(_Listed(found.at, tuple(objects)))
+                return Success(StoreListed(found.at, tuple(objects)))
             after = objects[-1].metadata.name
             query = f'?{urlencode({"after": after})}'
 
     async def _watch(
         self, kind: str, after: int, deadline: float, reason: CallReason
-    ) -> Result[_Changed, StoreFailure]:
+    ) -> Result[StoreChanged, StoreFailure]:
         remaining = max(0, deadline - self._clock.read_monotonic())
         wait = min(_MAX_WAIT_MILLISECONDS, int(remaining * _MILLISECONDS))
         query = urlencode({'watch': after, 'wait_ms': wait})
@@ -234,8 +205,10 @@
             reason,
             remaining + _CALL_SECONDS,
         )
-        return answer.bind(lambda reply: _decode(reply, _Events)).map(
-            lambda found: _Changed(found.at, _decode_each(found.events, _Event))
+        return answer.bind(lambda reply: decode_answer(reply, StoreEvents)).map(
+            lambda found: StoreChanged(
+                found.at, decode_each(found.events, StoreEvent)
+            )
         )
 
     async def _write(
@@ -249,7 +222,7 @@
         self, key: str, reason: CallReason, request: OutgoingRequest
     ) -> Result[StoredObject, StoreFailure]:
         answer = await self._fetch(request, reason)
-        return answer.bind(lambda reply: _decode(reply, _Object)).map(
+        return answer.bind(lambda reply: decode_answer(reply, StoreObject)).map(
             lambda found: _make_stored(key, found)
         )
 
@@ -303,38 +276,18 @@
     )
 
 
-def _decode(reply: Reply, expected: Any) -> Result[Any, StoreFailure]:
-    try:
-        return Success(json.decode(reply.body or b'{}', type=expected))
-    except (DecodeError, ValidationError) as error:
-        _log.warning('Answer of the store cannot be read.', reason=str(error))
-        return Failure(StoreFailure.lost)
-
-
-def _decode_each(
-    items: list[Raw], expected: type[_Decoded]
-) -> tuple[_Decoded, ...]:
-    decoded = []
-    for item in items:
-        try:
-            decoded.append(json.decode(item, type=expected))
-        except (DecodeError, ValidationError) as error:
-            _log.warning('Stored object left out.', reason=str(error))
-    return tuple(decoded)
-
-
-def _make_stored(key: str, found: _Object) -> StoredObject:
+def _make_stored(key: str, found: StoreObject) -> StoredObject:
     return StoredObject(key, found.metadata.revision, bytes(found.spec))
 
 
-def _is_followed(kind: RecordKind, found: _Object) -> bool:
+def _is_followed(kind: RecordKind, found: StoreObject) -> bool:
     if kind is RecordKind.catalogue:
         return found.metadata.name == _CONFIGURATION
     return True
 
 
 def _make_record(
-    kind: RecordKind, found: _Object, deleted: bool = False
+    kind: RecordKind, found: StoreObject, deleted: bool = False
 ) -> Record:
     # A deletion has a revision of its own, which a new life may follow in
     # the same answer.
--- a/src/monsoonwall/settings.py
+++ b/src/monsoonwall/settings.py
@@ -23,6 +23,7 @@
 from returns.result import Failure, Result, Success
 
 from monsoonwall.findings import Finding
+from monsoonwall.mesh.settings import MeshSettings
 
 _Settings = TypeVar('_Settings')
 
@@ -36,18 +37,6 @@
 _PLATFORM_WRITES: Final = 40
 
 
-@dataclass(frozen=True)
-class MeshSettings:
-    """Hold what a host needs to meet the others; addresses are host:port."""
-
-    host_name: str
-    zone: str
-    region: str
-    mesh_address: str
-    peers: tuple[str, ...] = ()
-    platform_listing: bool = True
-
-
 @dataclass(frozen=True)
 class EntrySettings:
     """Hold the settings of an entry host; addresses are ``host:port``."""
--- a/src/monsoonwall/transport/channels.py
+++ b/src/monsoonwall/transport/channels.py
@@ -26,10 +26,9 @@
 )
 
 _INFORMATIONAL: Final = 200
-# Bytes that a response may have in flight between the reader and its user.
-_MAX_WAITING: Final = 1024
+_MAX_HEADER_BYTES: Final = 65_536
 _PARAMETERS: Final = HTTP1ConnectionParameters(
-    max_header_size=65_536, max_body_size=MAX_BUFFER_BYTES
+    max_header_size=_MAX_HEADER_BYTES, max_body_size=MAX_BUFFER_BYTES
 )
 
 Message = Head | Piece | Ending
--- a/tests/standins/mesh_host.py
+++ b/tests/standins/mesh_host.py
@@ -15,7 +15,7 @@
 from monsoonwall.clocks import SystemClock
 from monsoonwall.entry.meshing import Mesh
 from monsoonwall.mesh.board import Fact
-from monsoonwall.settings import MeshSettings
+from monsoonwall.mesh.settings import MeshSettings
 
 
 class ControlHandler(RequestHandler):
