--- a/src/monsoonwall/streams/replication.py
+++ b/src/monsoonwall/streams/replication.py
@@ -44,10 +44,13 @@
     settled: bool = False
     sending: bool = False
 
-    def lacks_tokens(self) -> bool:
-        """Tell whether the holder has none of the tokens there are."""
-        placed = self.holder is not None and not self.sending
-        return placed and not self.offset and bool(self.answer.tokens)
+    def lacks_copy(self) -> bool:
+        """Tell whether there is no copy, or one without any tokens."""
+        if self.sending or self.answer.ended:
+            return False
+        return self.holder is None or bool(
+            not self.offset and self.answer.tokens
+        )
 
     def is_done(self) -> bool:
         """Tell whether the holder needs to hear no more."""
@@ -107,11 +110,11 @@
         await self._update_all(self._placements.values())
 
     async def send_first_progress(self) -> None:
-        """Bring those copies up to date that hold no tokens yet."""
+        """Place missing copies, and fill those without any tokens."""
         await self._update_all(
             placement
             for placement in self._placements.values()
-            if placement.lacks_tokens()
+            if placement.lacks_copy()
         )
 
     async def _update_all(self, placements: Iterable[_Placement]) -> None:
@@ -170,15 +173,15 @@
     async def _update(
         self, holder: str | None, placements: list[_Placement]
     ) -> None:
-        if holder is None:
-            await self._place_again(placements)
-            return
-        due = [one for one in placements if _has_news(one)]
+        due = [one for one in placements if _is_due(one)]
         if not due:
             return
         _mark_sending(due, sending=True)
         try:
-            await self._send_news(holder, placements, due)
+            if holder is None:
+                await self._place_again(due)
+            else:
+                await self._send_news(holder, placements, due)
         finally:
             _mark_sending(due, sending=False)
 
@@ -258,11 +261,12 @@
         placement.sending = sending
 
 
-def _has_news(placement: _Placement) -> bool:
+def _is_due(placement: _Placement) -> bool:
     answer = placement.answer
     if placement.sending:
         return False
-    return len(answer.tokens) > placement.offset or answer.ended
+    news = len(answer.tokens) > placement.offset or answer.ended
+    return news or placement.holder is None
 
 
 def _reset(placements: Iterable[_Placement]) -> None:
--- a/tests/claims/test_claims_processes.py
+++ b/tests/claims/test_claims_processes.py
@@ -44,7 +44,7 @@
         for reply in replies:
             if reply.status != 200:
                 error = reply.read_json()['error']
-                self.assertEqual(error['code'], 'already_in_progress')
+                self.assertEqual(error['code'], 'already_in_progress', error)
 
     def test_lost_answer_is_never_repeated(self):
         for name in ('ledger-0', 'ledger-1'):
--- a/tests/streams/test_replication.py
+++ b/tests/streams/test_replication.py
@@ -138,6 +138,14 @@
         held = holdings.release(answer.call.request_id)
         self.assertEqual(held.tokens, ['a'])
 
+    async def test_answer_taken_over_is_copied_between_the_rounds(self):
+        # Until then the loss of this host would lose it, too.
+        answer = Answer(self.call, 'v1', False)
+        self.replicator.track(answer)
+        holdings = await self.start_holder('holder')
+        await self.replicator.send_first_progress()
+        self.assertIsNotNone(holdings.find(answer.call.request_id))
+
     async def test_restarted_holder_gets_the_whole_copy_again(self):
         holdings = await self.start_holder('holder')
         answer = await self.place()
