--- a/src/monsoonwall/gateway/ingress.py
+++ b/src/monsoonwall/gateway/ingress.py
@@ -86,7 +86,6 @@
 
     def __init__(self, ingress: 'Ingress', connection: HTTP1Connection) -> None:
         self.connection = connection
-        self.busy = False
         self._ingress = ingress
         self._start_line = RequestStartLine('', '', '')
         self._headers = HTTPHeaders()
@@ -100,7 +99,7 @@
         headers: HTTPHeaders,
     ) -> None:
         """Keep the head; refuse a body that is too large at once."""
-        self.busy = True
+        self._ingress.note_begun(self)
         self._start_line = start_line
         self._headers = headers
         most = self._ingress.max_body_bytes
@@ -137,7 +136,7 @@
         self._leave()
 
     def _leave(self) -> None:
-        self.busy = False
+        self._ingress.note_ended(self)
         if self._serving is not None and not self._serving.done():
             self._serving.cancel()
 
@@ -159,7 +158,7 @@
         self._clock = clock
         self._find_limits = find_limits
         self._exchanges: dict[Any, _Exchange] = {}
-        self._active = 0
+        self._busy: set[_Exchange] = set()
         self._idle = asyncio.Event()
         self._server = HTTPServer(
             self,
@@ -170,8 +169,8 @@
 
     @property
     def active(self) -> int:
-        """Return how many requests are being served."""
-        return self._active
+        """Return how many requests are arriving or being served."""
+        return len(self._busy)
 
     @property
     def max_body_bytes(self) -> int:
@@ -201,9 +200,9 @@
         self._server.conn_params.no_keep_alive = True
 
     async def wait_idle(self, seconds: float) -> None:
-        """Wait until no request is being served, at most for some time."""
+        """Wait until no request is under way, at most for some time."""
         self._idle.clear()
-        if not self._active:
+        if not self._busy:
             return
         with suppress(TimeoutError):
             await asyncio.wait_for(self._idle.wait(), max(0, seconds))
@@ -212,7 +211,7 @@
         """Accept no connection any more, and close those without request."""
         self._server.stop()
         for exchange in list(self._exchanges.values()):
-            if not exchange.busy:
+            if exchange not in self._busy:
                 exchange.connection.close()
 
     async def serve(
@@ -226,7 +225,6 @@
         caller = _HttpCaller(exchange.connection)
         now = self._clock.read_monotonic()
         decoded = self._dialect.read_request(start_line, headers, body, now)
-        self._active += 1
         try:
             if is_successful(decoded):
                 await self._handler.serve(decoded.unwrap(), caller)
@@ -243,12 +241,16 @@
             )
             caller.cut()
         finally:
-            exchange.busy = False
-            self._note_ended()
+            self.note_ended(exchange)
 
-    def _note_ended(self) -> None:
-        self._active -= 1
-        if not self._active:
+    def note_begun(self, exchange: _Exchange) -> None:
+        """Take in that a request has begun to arrive."""
+        self._busy.add(exchange)
+
+    def note_ended(self, exchange: _Exchange) -> None:
+        """Take in that a request is over."""
+        self._busy.discard(exchange)
+        if not self._busy:
             self._idle.set()
 
     def refuse(
--- a/tests/gateway/test_gateway_processes.py
+++ b/tests/gateway/test_gateway_processes.py
@@ -228,6 +228,31 @@
         self.assertGreater(len(statuses), 2)
         self.assertEqual(set(statuses), {200})
 
+    def test_termination_waits_for_a_request_that_is_arriving(self):
+        self.configure()
+        process, ports = self.start_gateway()
+        self.wait_ready(ports)
+        self.assertTrue(wait_until(lambda: self.look(ports)[0] == 200))
+        slow = HTTPConnection('127.0.0.1', ports['front'])
+        self.addCleanup(slow.close)
+        slow.putrequest('POST', '/look/1', skip_host=True)
+        for name, told in (
+            ('Host', 'desk'),
+            ('Api-Key', 'key'),
+            ('X-Monsoonwall-Attempt-Id', 'slow'),
+            ('Content-Length', '4'),
+        ):
+            slow.putheader(name, told)
+        slow.endheaders()
+        slow.send(b'ab')
+        self.assertTrue(wait_until(lambda: self.look(ports)[0] == 200))
+        process.send_signal(signal.SIGTERM)
+        # Later than hosts without requests end.
+        time.sleep(3.2)
+        slow.send(b'cd')
+        self.assertEqual(slow.getresponse().status, 200)
+        self.assertEqual(process.wait(timeout=20), 0)
+
     def test_configuration_spreads_and_never_goes_back(self):
         self.configure()
         _, first = self.start_gateway('edge-1')
