--- a/src/monsoonwall/gateway/ingress.py
+++ b/src/monsoonwall/gateway/ingress.py
@@ -160,6 +160,7 @@
         self._exchanges: dict[Any, _Exchange] = {}
         self._busy: set[_Exchange] = set()
         self._idle = asyncio.Event()
+        self._closing = False
         self._server = HTTPServer(
             self,
             max_header_size=_MAX_HEADER_BYTES,
@@ -188,6 +189,9 @@
     ) -> HTTPMessageDelegate:
         """Return what reads the next request of a channel."""
         exchange = _Exchange(self, request_conn)
+        if self._closing:
+            # The answer before was begun before the shutdown.
+            request_conn.close()
         self._exchanges[server_conn] = exchange
         return exchange
 
@@ -209,6 +213,7 @@
 
     def close_idle(self) -> None:
         """Accept no connection any more, and close those without request."""
+        self._closing = True
         self._server.stop()
         for exchange in list(self._exchanges.values()):
             if exchange not in self._busy:
--- a/tests/gateway/test_gateway_processes.py
+++ b/tests/gateway/test_gateway_processes.py
@@ -9,7 +9,7 @@
 import threading
 import time
 import unittest
-from http.client import HTTPConnection
+from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 
 from msgspec import json
@@ -228,6 +228,25 @@
         self.assertGreater(len(statuses), 2)
         self.assertEqual(set(statuses), {200})
 
+    def test_termination_takes_nothing_after_a_long_answer(self):
+        self.configure()
+        process, ports = self.start_gateway()
+        self.wait_ready(ports)
+        self.assertTrue(wait_until(lambda: self.look(ports)[0] == 200))
+        self.app.seconds = 3.5
+        kept = HTTPConnection('127.0.0.1', ports['front'])
+        self.addCleanup(kept.close)
+        stop = threading.Timer(0.3, process.send_signal, args=(signal.SIGTERM,))
+        stop.start()
+        self.assertEqual(self.look(ports, connection=kept)[0], 200)
+        served = self.app.served
+        # The library would open a new connection by itself.
+        kept.auto_open = 0
+        with self.assertRaises((OSError, HTTPException)):
+            self.look(ports, connection=kept)
+        self.assertEqual(process.wait(timeout=20), 0)
+        self.assertEqual(self.app.served, served)
+
     def test_termination_waits_for_a_request_that_is_arriving(self):
         self.configure()
         process, ports = self.start_gateway()
