Hold no lease again after giving it back in the shutdown

Cause: seen in the logs of the process test: a host that was asked to stop gave the lease of the duties back and took it again 0.2 s later, so that its successor had to wait it out.

--- a/src/monsoonwall/gateway/holding.py
+++ b/src/monsoonwall/gateway/holding.py
@@ -50,6 +50,7 @@
         self._orderer = orderer
         self._keeping: asyncio.Task[None] | None = None
         self._number = 0
+        self._leaving = False
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -61,7 +62,8 @@
             await asyncio.sleep(_STEP_SECONDS)
 
     async def release(self) -> None:
-        """Let another host take over at once."""
+        """Let another host take over at once, and want no more."""
+        self._leaving = True
         if self._keeping is not None:
             self._keeping.cancel()
             self._keeping = None
@@ -73,7 +75,7 @@
         ]
         candidates = choose_candidates(_SHARD, (*hosts, self._own_name))
         if self._keeping is None:
-            if self._own_name in candidates:
+            if self._own_name in candidates and not self._leaving:
                 self._keeping = asyncio.create_task(self._keeper.run())
             return
         if self._keeping.done():
--- a/tests/gateway/test_gateway_processes.py
+++ b/tests/gateway/test_gateway_processes.py
@@ -62,6 +62,7 @@
         self.port = find_free_port()
         self.seconds = 0
         self.served = 0
+        self.running = 0
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -85,7 +86,9 @@
                     for line in head.splitlines()
                     if line.lower().startswith('x-monsoonwall-attempt-id')
                 ]
+                self.running += 1
                 await asyncio.sleep(self.seconds)
+                self.running -= 1
                 self.served += 1
                 writer.write(make_answer(b'found', attempt_id=named[0]))
                 await writer.drain()
@@ -233,19 +236,32 @@
         process, ports = self.start_gateway()
         self.wait_ready(ports)
         self.assertTrue(wait_until(lambda: self.look(ports)[0] == 200))
-        self.app.seconds = 3.5
         kept = HTTPConnection('127.0.0.1', ports['front'])
         self.addCleanup(kept.close)
-        stop = threading.Timer(0.3, process.send_signal, args=(signal.SIGTERM,))
-        stop.start()
-        self.assertEqual(self.look(ports, connection=kept)[0], 200)
-        served = self.app.served
+        asking = []
+        # The later one keeps the process until after the first has ended.
+        for seconds, connection in ((3.5, kept), (4.5, None)):
+            self.app.seconds = seconds
+            asking.append(
+                threading.Thread(
+                    target=self.look, args=(ports, 'key', connection)
+                )
+            )
+            asking[-1].start()
+            expected = len(asking)
+            self.assertTrue(
+                wait_until(lambda: self.app.running == expected)  # noqa: B023
+            )
+        process.send_signal(signal.SIGTERM)
+        asking[0].join()
+        self.app.seconds = 0
         # The library would open a new connection by itself.
         kept.auto_open = 0
         with self.assertRaises((OSError, HTTPException)):
             self.look(ports, connection=kept)
+        self.assertEqual(self.app.running, 1)
+        asking[1].join()
         self.assertEqual(process.wait(timeout=20), 0)
-        self.assertEqual(self.app.served, served)
 
     def test_termination_waits_for_a_request_that_is_arriving(self):
         self.configure()
