--- a/src/monsoonwall/gateway/ingress.py
+++ b/src/monsoonwall/gateway/ingress.py
@@ -92,6 +92,12 @@
         self._pieces: list[bytes] = []
         self._serving: asyncio.Task[None] | None = None
         self._refused = False
+        self._closed = False
+
+    def close(self) -> None:
+        """Close the channel; a request that crosses this is not served."""
+        self._closed = True
+        self.connection.close()
 
     def headers_received(
         self,
@@ -123,6 +129,10 @@
         """Have the request served."""
         if self._refused:
             return
+        if self._closed:
+            # What had been read when the channel closed is still handed on.
+            self._ingress.note_ended(self)
+            return
         self.connection.set_close_callback(self._leave)
         self._serving = asyncio.ensure_future(
             self._ingress.serve(
@@ -191,7 +201,7 @@
         exchange = _Exchange(self, request_conn)
         if self._closing:
             # The answer before was begun before the shutdown.
-            request_conn.close()
+            exchange.close()
         self._exchanges[server_conn] = exchange
         return exchange
 
@@ -217,7 +227,7 @@
         self._server.stop()
         for exchange in list(self._exchanges.values()):
             if exchange not in self._busy:
-                exchange.connection.close()
+                exchange.close()
 
     async def serve(
         self,
--- /dev/null
+++ b/tests/gateway/test_ingress.py
@@ -0,0 +1,78 @@
+"""Accept requests, and none that crosses the end of its channel."""
+
+import unittest
+from unittest.mock import create_autospec
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from monsoonwall.clocks import ManualClock
+from monsoonwall.gateway.ingress import Ingress, RequestHandler
+from monsoonwall.platform.dialect import PlatformDialect
+
+START = RequestStartLine('POST', '/look/1', 'HTTP/1.1')
+HEADERS = HTTPHeaders({'Host': 'desk', 'X-Monsoonwall-Attempt-Id': 'a1'})
+
+
+class RecordingHandler(RequestHandler):
+    """Record what is to be served."""
+
+    def __init__(self):
+        self.served = []
+
+    async def serve(self, request, caller):
+        self.served.append(request.attempt_id)
+
+    def refuse(self, attempt_id, caller, refusal):
+        self.served.append(refusal.reason)
+
+
+class ShutdownTest(unittest.IsolatedAsyncioTestCase):
+    """Close channels between the arrival of a request and its reading."""
+
+    def setUp(self):
+        self.handler = RecordingHandler()
+        self.ingress = Ingress(
+            '127.0.0.1:0',
+            PlatformDialect(),
+            self.handler,
+            ManualClock(),
+            lambda: None,
+        )
+        self.connection = create_autospec(HTTP1Connection, instance=True)
+
+    def open_channel(self):
+        return self.ingress.start_request('channel', self.connection)
+
+    async def read_request(self, exchange):
+        exchange.headers_received(START, HEADERS)
+        exchange.data_received(b'{}')
+        exchange.finish()
+        await self.ingress.wait_idle(1)
+
+    async def test_request_is_served(self):
+        await self.read_request(self.open_channel())
+        self.assertEqual(self.handler.served, ['a1'])
+
+    async def test_request_that_crosses_the_close_is_not_served(self):
+        exchange = self.open_channel()
+        self.ingress.close_idle()
+        self.connection.close.assert_called_once_with()
+        await self.read_request(exchange)
+        self.assertEqual(self.handler.served, [])
+        self.assertEqual(self.ingress.active, 0)
+
+    async def test_request_that_is_arriving_is_served(self):
+        exchange = self.open_channel()
+        exchange.headers_received(START, HEADERS)
+        self.ingress.close_idle()
+        self.connection.close.assert_not_called()
+        exchange.finish()
+        await self.ingress.wait_idle(1)
+        self.assertEqual(self.handler.served, ['a1'])
+
+    async def test_channel_takes_no_request_after_the_close(self):
+        self.ingress.close_idle()
+        await self.read_request(self.open_channel())
+        self.connection.close.assert_called_once_with()
+        self.assertEqual(self.handler.served, [])
