--- a/src/monsoonwall/gateway/dialect.py
+++ b/src/monsoonwall/gateway/dialect.py
@@ -1,16 +1,12 @@
 """Declare how gateways speak with callers and servers."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from returns.result import Result
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from monsoonwall.gateway.model import (
-    BackendServer,
-    CallerRequest,
-    ServerLoad,
-)
+from monsoonwall.gateway.model import BackendServer, CallerRequest
 from monsoonwall.pipeline.messages import Refusal
 from monsoonwall.transport.messages import Head, OutgoingRequest
 
@@ -37,11 +33,6 @@
     priority: int | None = None
     last_event_id: str = ''
     continuation: Continuation | None = None
-    backup_address: str = ''
-
-    def at_server(self, server: BackendServer) -> 'Attempt':
-        """Return the same attempt for another server."""
-        return replace(self, server=server)
 
 
 @dataclass(frozen=True)
@@ -56,7 +47,6 @@
     not_executed: bool
     closes: bool
     keep_seconds: float | None = None
-    load: ServerLoad | None = None
 
 
 class Dialect(ABC):
--- a/src/monsoonwall/gateway/model.py
+++ b/src/monsoonwall/gateway/model.py
@@ -1,7 +1,7 @@
 """Describe what the platform's operators configure and its servers tell."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from functools import cached_property
 from types import MappingProxyType
@@ -58,21 +58,21 @@
     """Describe what all model engines of a service can do."""
 
     slots: int
-    kv_capacity: int
     moves: bool = False
-    backups: bool = False
-    handle_seconds: float = 0
 
 
 @dataclass(frozen=True)
 class Scaling:
-    """Bound how many servers each zone may have, and what they cost."""
+    """Bound how many servers each zone may have.
+
+    ``spot_price`` is the part of the price that reclaimable ones cost, None
+    if there are none.
+    """
 
     least: int
     most: int
     boot_seconds: float
     spot_price: float | None = None
-    zone_prices: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -80,8 +80,6 @@
     """Describe the servers that answer the same requests."""
 
     name: str
-    health_path: str
-    max_connections: int
     engine: Engine | None = None
     scaling: Scaling | None = None
 
@@ -105,12 +103,9 @@
 
 @dataclass(frozen=True)
 class Limits:
-    """Bound what a caller may send and how long its connection may idle."""
+    """Bound what a caller may send."""
 
-    max_header_bytes: int
     max_body_bytes: int
-    header_timeout_seconds: float
-    idle_timeout_seconds: float
 
 
 @dataclass(frozen=True)
@@ -162,7 +157,7 @@
 class BackendServer:
     """Describe a server as it registered itself; ``address`` is host:port.
 
-    ``ends_wall`` is the Unix time at which a reclaimed server goes, if told.
+    ``born`` tells two lives of one name apart.
     """
 
     name: str
@@ -174,7 +169,6 @@
     leaving: bool = False
     spot: bool = False
     born: int = 0
-    ends_wall: float | None = None
 
 
 @dataclass(frozen=True)
@@ -227,12 +221,3 @@
         if self.prompt is None:
             return 0
         return self.prompt.input_tokens + self.prompt.output_tokens
-
-
-@dataclass(frozen=True)
-class ServerLoad:
-    """Hold what a server said of its load."""
-
-    running: int
-    waiting: int
-    slots: int
--- a/src/monsoonwall/gateway/records.py
+++ b/src/monsoonwall/gateway/records.py
@@ -15,7 +15,6 @@
 
     catalogue = 'catalogue'
     server = 'server'
-    move = 'move'
 
 
 @dataclass(frozen=True)
--- a/src/monsoonwall/gateway/settings.py
+++ b/src/monsoonwall/gateway/settings.py
@@ -17,19 +17,12 @@
 
     drain_seconds: float = 2
     grace_seconds: float = 8
-    contact_seconds: float = 3
-    config_seconds: float = 2
     retry_ratio: float = 0.2
     retry_slack: float = 50
     retry_window_seconds: float = 10
     lease_seconds: float = 3
     usage_window_seconds: float = 5
     usage_late_seconds: float = 10
-    exposure_share: float = 0.1
-    exposure_slack: float = 50
-    rollback_seconds: float = 5
-    reuse_seconds: float = 10
-    pass_seconds: float = 0.12
     limit_window_seconds: float = 8
     limit_overage: float = 0
     limit_slack_tokens: float = 0
@@ -55,6 +48,5 @@
     zones: tuple[str, ...] = ()
     reports_usage: bool = False
     orders_servers: bool = False
-    duty_calls_per_second: float = 10
     first_start: bool = False
     bounds: Bounds = Bounds()
--- a/src/monsoonwall/platform/dialect.py
+++ b/src/monsoonwall/platform/dialect.py
@@ -17,7 +17,6 @@
     CallerRequest,
     Prompt,
     PromptPart,
-    ServerLoad,
 )
 from monsoonwall.pipeline.messages import Effect, Refusal, RefusalReason
 from monsoonwall.transport.messages import (
@@ -30,7 +29,6 @@
 _MAX_ID_LENGTH: Final = 200
 _MISDIRECTED: Final = 421
 _DEFAULT_DEADLINE_SECONDS: Final = 60.0
-_LOAD_FIELDS: Final = 3
 
 _ATTEMPT_ID: Final = 'X-Monsoonwall-Attempt-Id'
 # How many milliseconds remain, from when the message is sent.
@@ -45,10 +43,8 @@
 _LAST_EVENT: Final = 'Last-Event-Id'
 _PRIORITY: Final = 'X-Monsoonwall-Request-Priority'
 _STATE_FROM: Final = 'Kv-From'
-_BACKUP: Final = 'X-Monsoonwall-Kv-Backup'
 _SEAL: Final = 'X-Monsoonwall-Response-Seal'
 _NOT_EXECUTED: Final = 'X-Monsoonwall-Not-Executed'
-_LOAD: Final = 'X-Monsoonwall-Server-Load'
 _RETRY_AFTER: Final = 'Retry-After'
 
 _HOP_HEADERS: Final = frozenset(
@@ -74,9 +70,9 @@
         _KEY,
         _PRIORITY,
         _STATE_FROM,
-        _BACKUP,
         _LAST_EVENT,
         'Kv-Fetch',
+        'X-Monsoonwall-Kv-Backup',
         'X-Monsoonwall-Hold',
         'X-Monsoonwall-Pin-Ms',
         'X-Monsoonwall-Expect-Version',
@@ -168,8 +164,6 @@
         if attempt.continuation is not None:
             kept = attempt.continuation
             added.append((_STATE_FROM, f'{kept.address}/{kept.handle}'))
-        if attempt.backup_address:
-            added.append((_BACKUP, attempt.backup_address))
         return OutgoingRequest(
             request.method,
             request.target,
@@ -188,7 +182,6 @@
             ),
             closes=headers.get('Connection', '').lower() == 'close',
             keep_seconds=_read_keep_alive(headers),
-            load=_read_load(headers),
         )
 
     def write_answer_headers(self, head: Head) -> HTTPHeaders:
@@ -275,12 +268,3 @@
         if name.lower() == 'timeout' and seconds.isdecimal():
             return float(seconds)
     return None
-
-
-def _read_load(headers: HTTPHeaders) -> ServerLoad | None:
-    told = headers.get(_LOAD, '').split(',')
-    if len(told) != _LOAD_FIELDS:
-        return None
-    if not all(count.strip().isdecimal() for count in told):
-        return None
-    return ServerLoad(*(int(count) for count in told))
--- a/src/monsoonwall/platform/documents.py
+++ b/src/monsoonwall/platform/documents.py
@@ -50,10 +50,7 @@
 
 class _Engine(Struct):
     slots: int
-    kv_capacity: int
     moves: bool = False
-    backups: bool = False
-    handle_s: float = 0
 
 
 class _Scaling(Struct):
@@ -62,13 +59,10 @@
     max: int
     boot_s: float = 0
     spot_price: float | None = None
-    zone_prices: dict[str, float] = field(default_factory=dict)
 
 
 class _Service(Struct):
     name: str
-    health_path: str = ''
-    max_connections: int = 100
     engine: _Engine | None = None
     scaling: _Scaling | None = None
 
@@ -85,10 +79,7 @@
 
 
 class _Limits(Struct):
-    max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
 
 
 class _Configuration(Struct):
@@ -110,7 +101,6 @@
     spot: bool = False
     # The Unix millisecond of its start; tells two lives of a name apart.
     born: int = 0
-    leaves_ms: float | None = None
 
 
 class PlatformCodec(RecordCodec):
@@ -171,19 +161,13 @@
 
 
 def _make_catalogue(revision: int, told: _Configuration) -> Catalogue:
-    limits = told.limits
     return Catalogue(
         revision=revision,
         version=told.version,
         routes=tuple(map(_make_route, told.routes)),
         services={one.name: _make_service(one) for one in told.services},
         workspaces=tuple(map(_make_workspace, told.tenants)),
-        limits=Limits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.header_timeout_ms / _MILLISECONDS,
-            limits.idle_timeout_ms / _MILLISECONDS,
-        ),
+        limits=Limits(told.limits.max_body_bytes),
     )
 
 
@@ -209,23 +193,13 @@
     scaling = told.scaling
     return Service(
         name=told.name,
-        health_path=told.health_path,
-        max_connections=told.max_connections,
-        engine=engine
-        and Engine(
-            engine.slots,
-            engine.kv_capacity,
-            engine.moves,
-            engine.backups,
-            engine.handle_s,
-        ),
+        engine=engine and Engine(engine.slots, engine.moves),
         scaling=scaling
         and Scaling(
             scaling.min,
             scaling.max,
             scaling.boot_s,
             scaling.spot_price,
-            scaling.zone_prices,
         ),
     )
 
--- a/src/monsoonwall/platform/machine.py
+++ b/src/monsoonwall/platform/machine.py
@@ -26,21 +26,12 @@
 class _Bounds(Struct):
     drain_ms: float = 2000
     grace_s: float = 8
-    # How long a machine's links must have been calm for a bound to hold.
-    contact_ms: float = 3000
-    config_ms: float = 2000
     retry_ratio: float = 0.2
     budget_window_s: float = 10
     retry_slack: float = 50
     lease_ms: float = 3000
     usage_window_s: float = 5
     usage_late_s: float = 10
-    exposure_share: float = 0.1
-    exposure_slack: float = 50
-    rollback_ms: float = 5000
-    # For how long a part that is read again costs.
-    reuse_window_s: float = 10
-    pass_ms: float = 120
     quota_window_s: float = 8
     # A part of what the limit allows in the window.
     quota_overage: float = 0
@@ -55,7 +46,6 @@
 class _Cloud(Struct):
     address: str = ''
     duties: list[str] = field(default_factory=list)
-    duty_per_s: float = 10
 
 
 class _Machine(Struct):
@@ -114,7 +104,6 @@
         zones=tuple(machine.zones) or (machine.zone,),
         reports_usage=_USAGE_DUTY in cloud.duties,
         orders_servers=_ORDER_DUTY in cloud.duties,
-        duty_calls_per_second=cloud.duty_per_s,
         first_start=machine.bootstrap,
         bounds=_make_bounds(machine.bounds),
     )
@@ -124,19 +113,12 @@
     return Bounds(
         drain_seconds=told.drain_ms / _MILLISECONDS,
         grace_seconds=told.grace_s,
-        contact_seconds=told.contact_ms / _MILLISECONDS,
-        config_seconds=told.config_ms / _MILLISECONDS,
         retry_ratio=told.retry_ratio,
         retry_slack=told.retry_slack,
         retry_window_seconds=told.budget_window_s,
         lease_seconds=told.lease_ms / _MILLISECONDS,
         usage_window_seconds=told.usage_window_s,
         usage_late_seconds=told.usage_late_s,
-        exposure_share=told.exposure_share,
-        exposure_slack=told.exposure_slack,
-        rollback_seconds=told.rollback_ms / _MILLISECONDS,
-        reuse_seconds=told.reuse_window_s,
-        pass_seconds=told.pass_ms / _MILLISECONDS,
         limit_window_seconds=told.quota_window_s,
         limit_overage=told.quota_overage,
         limit_slack_tokens=told.quota_slack,
--- a/src/monsoonwall/platform/store.py
+++ b/src/monsoonwall/platform/store.py
@@ -52,7 +52,6 @@
     {
         RecordKind.catalogue: 'config',
         RecordKind.server: 'servers',
-        RecordKind.move: 'rollouts',
     }
 )
 _FIRST_FAILURE: Final = 300
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -154,7 +154,6 @@
                     {
                         'X-Monsoonwall-Attempt-Id': 'a1',
                         'X-Monsoonwall-Response-Seal': 's',
-                        'X-Monsoonwall-Server-Load': '3,0,8',
                         'Keep-Alive': 'timeout=5, max=9',
                         'Connection': 'Close',
                     }
@@ -165,7 +164,6 @@
         self.assertTrue(facts.closes)
         self.assertFalse(facts.not_executed)
         self.assertEqual(facts.keep_seconds, 5)
-        self.assertEqual(facts.load.slots, 8)
 
     def test_only_a_server_that_says_so_has_not_executed(self):
         told = HTTPHeaders({'X-Monsoonwall-Not-Executed': '1'})
