--- a/src/monsoonwall/commands/entry.py
+++ b/src/monsoonwall/commands/entry.py
@@ -11,14 +11,13 @@
 from monsoonwall.findings import format_findings
 from monsoonwall.logs import configure_logs
 from monsoonwall.settings import (
+    USAGE_STATUS,
     EntrySettings,
     check_entry_settings,
     define_entry_flags,
     read_settings,
 )
 
-USAGE_STATUS = 2
-
 
 def run_entry(arguments: Sequence[str]) -> int:
     """Serve until asked to stop; return the exit status."""
--- a/src/monsoonwall/commands/gateway.py
+++ b/src/monsoonwall/commands/gateway.py
@@ -10,14 +10,13 @@
 from returns.result import Result, Success
 
 from monsoonwall.clocks import SystemClock
-from monsoonwall.commands.entry import USAGE_STATUS
 from monsoonwall.findings import Finding, format_findings
 from monsoonwall.gateway.host import Gateway
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.logs import configure_bounded_logs
 from monsoonwall.platform.machine import read_machine
 from monsoonwall.platform.outside import make_outside
-from monsoonwall.settings import read_settings
+from monsoonwall.settings import USAGE_STATUS, read_settings
 
 
 def define_gateway_flags(values: FlagValues) -> None:
--- a/src/monsoonwall/gateway/evacuation.py
+++ b/src/monsoonwall/gateway/evacuation.py
@@ -1,6 +1,7 @@
 """Move runs off servers that are about to end."""
 
 import asyncio
+from contextlib import suppress
 from typing import Final
 
 from monsoonwall.clocks import Clock
@@ -16,8 +17,6 @@
 
 # Part of the drain time that runs get to end where they are.
 _WAIT_PART: Final = 0.55
-_STEP_SECONDS: Final = 0.1
-
 _log = make_logger('evacuation')
 
 
@@ -40,17 +39,24 @@
         self._wait_seconds = _WAIT_PART * drain_seconds
         self._clock = clock
         self._due: dict[str, float] = {}
+        self._changed = asyncio.Event()
         knowledge.subscribe(self._note_record)
 
     async def run(self) -> None:
         """Move runs when it is time, until cancelled."""
         while True:
-            await asyncio.sleep(_STEP_SECONDS)
             now = self._clock.read_monotonic()
             over = [name for name, due in self._due.items() if due <= now]
             for name in over:
                 self._due.pop(name)
                 self._move_all(name)
+            self._changed.clear()
+            next_due = min(self._due.values(), default=None)
+            with suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._changed.wait(),
+                    None if next_due is None else next_due - now,
+                )
 
     def _note_record(self, record: Record) -> None:
         if record.kind is not RecordKind.server:
@@ -61,6 +67,7 @@
             return
         now = self._clock.read_monotonic()
         self._due.setdefault(record.name, now + self._wait_seconds)
+        self._changed.set()
 
     def _move_all(self, name: str) -> None:
         for run in self._runs.list_runs(name):
--- a/src/monsoonwall/gateway/following.py
+++ b/src/monsoonwall/gateway/following.py
@@ -26,7 +26,7 @@
 
 # Hosts of each zone that watch the store; the others hear from them.
 WATCHERS_PER_ZONE: Final = 2
-_IDLE_SECONDS: Final = 0.5
+_IDLE_SECONDS: Final = 1.0
 # Part of the time within which a change has to be in force.
 _GATHER_SECONDS: Final = 0.3
 
--- a/src/monsoonwall/gateway/limiting.py
+++ b/src/monsoonwall/gateway/limiting.py
@@ -1,6 +1,7 @@
 """Grant what workspaces may send, in step with the other hosts."""
 
 from collections.abc import Callable, Sequence
+from functools import lru_cache
 from typing import Final
 
 from msgspec import DecodeError, Struct, ValidationError, msgpack
@@ -28,11 +29,13 @@
 # Between zones of a wide fleet they pass three relays, a second each.
 _WIDE_LAG_SECONDS: Final = 3.0
 _SUMMARY_PREFIX: Final = 'zone/'
+# Most hosts' grants are the same as half a second ago.
+_CACHED_PAYLOADS: Final = 256
 
 _log = make_logger('limits')
 
 
-class Grants(Struct, array_like=True):
+class Grants(Struct, array_like=True, frozen=True):
     """Hold what some hosts granted and were asked for, by workspace."""
 
     hosts: int
@@ -137,17 +140,19 @@
 
 def merge_grants(payloads: Sequence[bytes]) -> bytes:
     """Return the sum of what several hosts tell."""
-    summed = Grants(0, {})
+    hosts = 0
+    summed: dict[str, tuple[int, int]] = {}
     for grants in map(decode_grants, payloads):
-        summed.hosts += grants.hosts
+        hosts += grants.hosts
         for name, (granted, demand) in grants.workspaces.items():
-            known = summed.workspaces.get(name, (0, 0))
-            summed.workspaces[name] = (known[0] + granted, known[1] + demand)
-    return msgpack.encode(summed)
+            known = summed.get(name, (0, 0))
+            summed[name] = (known[0] + granted, known[1] + demand)
+    return msgpack.encode(Grants(hosts, summed))
 
 
+@lru_cache(_CACHED_PAYLOADS)
 def decode_grants(payload: bytes) -> Grants:
-    """Return what hosts tell; nothing if it is damaged."""
+    """Return what hosts tell, which is not to be changed."""
     try:
         return msgpack.decode(payload, type=Grants)
     except (DecodeError, ValidationError) as error:
--- a/src/monsoonwall/gateway/loads.py
+++ b/src/monsoonwall/gateway/loads.py
@@ -3,6 +3,7 @@
 from collections import Counter, OrderedDict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Final
 
 from msgspec import DecodeError, Struct, ValidationError, msgpack
@@ -26,6 +27,8 @@
 _FIRST_BUSY_SECONDS: Final = 0.1
 _BUSY_GAIN: Final = 0.05
 _MAX_PARTS: Final = 2000
+# Most hosts' loads are the same as a moment ago.
+_CACHED_PAYLOADS: Final = 256
 # The demand for servers follows a burst within seconds.
 _DEMAND_SECONDS: Final = 2.0
 
@@ -71,7 +74,7 @@
         return tokens
 
 
-class ToldLoad(Struct, array_like=True):
+class ToldLoad(Struct, array_like=True, frozen=True):
     """Hold the load of some hosts.
 
     ``servers`` hold the running requests and waiting tokens of each server,
@@ -103,6 +106,7 @@
         self._demands: dict[str, RateMeter] = {}
         self._peer_demands: Counter[str] = Counter()
         self._told: bytes = b''
+        self._heard: tuple[bytes, ...] = ()
         board.declare_merge(LOAD_KIND, merge_loads)
 
     def find_health(self, server: BackendServer) -> ServerHealth:
@@ -223,12 +227,17 @@
 
     def listen(self, own_name: str) -> None:
         """Take in what the other hosts tell of their work."""
+        heard = tuple(
+            entry.payload
+            for entry in self._board.read_entries(LOAD_KIND)
+            if entry.origin != own_name
+        )
+        if heard == self._heard:
+            return
+        self._heard = heard
         peers: dict[str, list[PeerLoad]] = {}
         self._peer_demands.clear()
-        for entry in self._board.read_entries(LOAD_KIND):
-            if entry.origin == own_name:
-                continue
-            load = _decode_told(entry.payload)
+        for load in map(_decode_told, heard):
             self._peer_demands.update(load.demands)
             for server, told in load.servers.items():
                 peers.setdefault(server, []).append(PeerLoad(*told))
@@ -288,6 +297,7 @@
     return msgpack.encode(ToldLoad(servers, dict(demands)))
 
 
+@lru_cache(_CACHED_PAYLOADS)
 def _decode_told(payload: bytes) -> ToldLoad:
     try:
         return msgpack.decode(payload, type=ToldLoad)
--- a/src/monsoonwall/gateway/usage.py
+++ b/src/monsoonwall/gateway/usage.py
@@ -58,6 +58,8 @@
         self._told = _Told(clock.read_wall(), {})
         self._published = b''
         self._heard: dict[tuple[str, float], dict[int, Counts]] = {}
+        # The last payload of each origin, of which there are as many as hosts.
+        self._payloads: dict[str, bytes] = {}
         board.declare_merge(USAGE_KIND, merge_usage)
 
     def count(self, workspace: str, began_wall: float) -> None:
@@ -102,6 +104,9 @@
         return int(settled // self._seconds) - 1
 
     def _hear(self, origin: str, payload: bytes) -> None:
+        if self._payloads.get(origin) == payload:
+            return
+        self._payloads[origin] = payload
         told = _decode_told(payload)
         # Kept also after the host is gone, with what it counted. The sum of a
         # zone shrinks when a host leaves it; what was counted stays.
--- a/src/monsoonwall/settings.py
+++ b/src/monsoonwall/settings.py
@@ -27,6 +27,8 @@
 
 _Settings = TypeVar('_Settings')
 
+# The exit status of a command that was given wrong settings.
+USAGE_STATUS: Final = 2
 ENVIRONMENT_PREFIX: Final = 'MONSOONWALL_'
 _PROGRAM: Final = 'monsoonwall'
 _MAX_PORT: Final = 65_535
--- /dev/null
+++ b/tests/commands/test_loading.py
@@ -0,0 +1,35 @@
+"""Load no more than a command needs."""
+
+import subprocess
+import sys
+import unittest
+
+_LIST_MODULES = (
+    'import sys, {module}; '
+    'print(*[name for name in sys.modules if name.startswith("monsoonwall")])'
+)
+
+
+def list_modules(module):
+    """Return the project's modules that a fresh process loads."""
+    ended = subprocess.run(
+        (sys.executable, '-c', _LIST_MODULES.format(module=module)),
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    return set(ended.stdout.split())
+
+
+class LoadingTest(unittest.TestCase):
+    """Keep the start of hundreds of processes cheap."""
+
+    def test_command_line_loads_no_command(self):
+        loaded = list_modules('monsoonwall.__main__')
+        commands = {name for name in loaded if '.commands.' in name}
+        self.assertEqual(commands, set())
+
+    def test_gateway_loads_no_entry_host(self):
+        loaded = list_modules('monsoonwall.commands.gateway')
+        self.assertNotIn('monsoonwall.entry.host', loaded)
+        self.assertNotIn('monsoonwall.configuration.schema', loaded)
