Order servers for the demand that is expected, and refused ones rarely

Before demand was known the most reclaimable servers were ordered beside a lasting one a zone, two a zone stood whatever the demand, refused orders were repeated every 1.5 s, and orders for both kinds together exceeded a zone's bound, which the platform refused for as long as it lasted.

Now the number of servers found at the first start stands for the demand until it is measured, zones without reclaimable servers are made up for by the others, refused orders wait up to 12 s, and the second kind is ordered within the room that the first leaves.

--- a/src/monsoonwall/decisions/fleet.py
+++ b/src/monsoonwall/decisions/fleet.py
@@ -3,22 +3,20 @@
 Answers reclaims of whole zones at a changing demand. Reclaimable servers cost
 a fraction, so they carry the usual load and a zone of them may be lost. Ones
 that stay are ordered when so few of the others are left that the loss of one
-more zone would leave too little, and given up when those are back.
+more zone would leave too little, and given up when those are back. Zones that
+have no reclaimable servers to give are made up for by the others.
 """
 
 import math
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from typing import Final
 
-# Servers that cannot be reclaimed, for each zone, while demand is unknown.
-_LASTING_SERVERS: Final = 1
 # Busy parts of servers at which first answers come in time, and at which
 # servers still keep up. Prompts differ a hundredfold, so the first is low.
 _USUAL_BUSY: Final = 0.25
 _MOST_BUSY: Final = 0.85
-_LEAST_SPOT: Final = 2
 # The highest demand of this long counts, which covers a wave of the traffic.
 _PEAK_SECONDS: Final = 20.0
 # Demand is taken as known this long after the first of it.
@@ -69,24 +67,25 @@
         return self._seen[0][1]
 
 
-def plan_unknown(bounds: FleetBounds) -> Mapping[str, ZoneFleet]:
-    """Return what each zone is to have before there is demand."""
-    lasting = min(bounds.most, _LASTING_SERVERS)
-    if bounds.spot:
-        fleet = ZoneFleet(lasting, bounds.most - lasting)
-    else:
-        fleet = ZoneFleet(bounds.most, 0)
-    return dict.fromkeys(bounds.prices, fleet)
+def expect_busy(servers: int) -> float:
+    """Return the demand that operators chose so many servers for."""
+    return servers * _USUAL_BUSY
 
 
 def plan_zones(
-    bounds: FleetBounds, running: Mapping[str, ZoneFleet], busy: float
+    bounds: FleetBounds,
+    running: Mapping[str, ZoneFleet],
+    busy: float,
+    dry: Collection[str] = (),
 ) -> Mapping[str, ZoneFleet]:
-    """Return what each zone is to have at a demand."""
+    """Return what each zone is to have at a demand.
+
+    Zones that are ``dry`` have refused to start more reclaimable servers.
+    """
     usual = math.ceil(busy / _USUAL_BUSY)
     # One zone may be lost.
-    zones = max(1, len(bounds.prices) - 1)
-    each = max(bounds.least, _LEAST_SPOT, math.ceil(usual / zones))
+    zones = max(1, len(bounds.prices) - len(dry) - 1)
+    each = max(bounds.least, 1, math.ceil(usual / zones))
     each = min(bounds.most, each)
     if not bounds.spot:
         return dict.fromkeys(bounds.prices, ZoneFleet(each, 0))
--- a/src/monsoonwall/gateway/ordering.py
+++ b/src/monsoonwall/gateway/ordering.py
@@ -5,11 +5,12 @@
 from typing import Final
 
 from monsoonwall.clocks import Clock
+from monsoonwall.decisions.budget import Backoff
 from monsoonwall.decisions.fleet import (
     DemandPeak,
     FleetBounds,
     ZoneFleet,
-    plan_unknown,
+    expect_busy,
     plan_zones,
 )
 from monsoonwall.gateway.duties import (
@@ -24,8 +25,10 @@
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.logs import make_logger
 
-# A refused order is tried again this much later.
-_REFUSED_SECONDS: Final = 1.5
+# A refused order is tried again after a pause that doubles from the first of
+# these to the last; a zone has no servers to give for tens of seconds.
+_FIRST_REFUSED_SECONDS: Final = 1.5
+_MOST_REFUSED_SECONDS: Final = 12.0
 # What was ordered has to show this long after the time that booting takes.
 _SHOW_SECONDS: Final = 3.0
 # Reclaims of other zones follow within seconds, so that lasting servers are
@@ -57,19 +60,24 @@
         self._kept: dict[tuple[str, str], float] = {}
         self._again_at: dict[tuple[str, str, bool], float] = {}
         self._ordered: dict[tuple[str, str, bool], int] = {}
+        self._refusals: dict[tuple[str, str, bool], Backoff] = {}
+        # How many servers of each service were found at the start.
+        self._found: dict[str, int] = {}
 
     def forget(self) -> None:
         """Order anew what another holder may have changed."""
         self._again_at.clear()
         self._ordered.clear()
+        self._refusals.clear()
 
     def observe(self) -> None:
         """Take in the demand, whoever holds the duty."""
         now = self._clock.read_monotonic()
         for service in self._list_services():
-            busy = self._loads.count_busy(
-                service.name, self._knowledge.list_servers(service.name)
-            )
+            servers = self._knowledge.list_servers(service.name)
+            if servers:
+                self._found.setdefault(service.name, len(servers))
+            busy = self._loads.count_busy(service.name, servers)
             peak = self._peaks.setdefault(service.name, DemandPeak())
             peak.note(busy, now)
 
@@ -92,16 +100,22 @@
 
     async def _adjust(self, holder: Holder, service: Service) -> None:
         running = self._count(service.name)
+        most = service.scaling.most
         for zone, wanted in self._plan(service, running).items():
             has = running[zone]
-            # Reclaimable servers come before others are given up.
+            lasting = self._keep(service.name, zone, wanted, has)
+            # Reclaimable servers come before others are given up, as far as
+            # the zone has room for both.
+            ordered = self._ordered.get(
+                (service.name, zone, False), has.lasting
+            )
+            spot = min(wanted.spot, most - max(lasting, ordered))
             await self._order(
                 holder,
-                ServerOrder(service.name, zone, wanted.spot, True),
+                ServerOrder(service.name, zone, max(0, spot), True),
                 has.spot,
                 service,
             )
-            lasting = self._keep(service.name, zone, wanted, has)
             await self._order(
                 holder,
                 ServerOrder(service.name, zone, lasting, False),
@@ -122,10 +136,20 @@
         peak = self._peaks.get(service.name)
         now = self._clock.read_monotonic()
         busy = peak.read(now) if peak else None
-        if busy is not None:
-            return plan_zones(bounds, running, busy)
-        # After a restart of all hosts, what runs was ordered by demand.
-        return plan_unknown(bounds) if self._first_start else running
+        if busy is None and not self._first_start:
+            # After a restart of all hosts, what runs was ordered by demand.
+            return running
+        if busy is None:
+            busy = expect_busy(self._found.get(service.name, 0))
+        return plan_zones(bounds, running, busy, self._list_dry(service.name))
+
+    def _list_dry(self, service: str) -> frozenset[str]:
+        """Return the zones that have no reclaimable servers to give."""
+        return frozenset(
+            zone
+            for named, zone, spot in self._refusals
+            if (named, spot) == (service, True)
+        )
 
     def _keep(
         self, service: str, zone: str, wanted: ZoneFleet, has: ZoneFleet
@@ -165,11 +189,13 @@
         if now < self._again_at.get(place, now):
             return
         ending = await self._calls.order_servers(holder, order)
-        pause = _REFUSED_SECONDS
         if ending is DutyEnding.done:
             self._ordered[place] = order.count
-            pause = service.scaling.boot_seconds + _SHOW_SECONDS
-        self._again_at[place] = now + pause
+            self._refusals.pop(place, None)
+            shown = service.scaling.boot_seconds + _SHOW_SECONDS
+            self._again_at[place] = now + shown
+        else:
+            self._again_at[place] = self._delay(place, ending, now)
         _log.info(
             'Servers ordered.',
             service=order.service,
@@ -179,3 +205,14 @@
             running=running,
             ending=ending,
         )
+
+    def _delay(
+        self, place: tuple[str, str, bool], ending: DutyEnding, now: float
+    ) -> float:
+        """Return when to try an order again that was not carried out."""
+        if ending is not DutyEnding.refused:
+            return now + _FIRST_REFUSED_SECONDS
+        backoff = self._refusals.setdefault(
+            place, Backoff(_FIRST_REFUSED_SECONDS, _MOST_REFUSED_SECONDS)
+        )
+        return backoff.fail(now, 1)
