--- a/src/monsoonwall/decisions/fleet.py
+++ b/src/monsoonwall/decisions/fleet.py
@@ -60,11 +60,14 @@
         while self._seen[0][0] < now - _PEAK_SECONDS:
             self._seen.popleft()
 
-    def read(self, now: float) -> float | None:
-        """Return the peak, None while the demand is not known yet."""
-        if self._begun_at is None or now < self._begun_at + _KNOWN_SECONDS:
-            return None
-        return self._seen[0][1]
+    def is_known(self, now: float) -> bool:
+        """Tell whether the demand has been measured for long enough."""
+        begun_at = self._begun_at
+        return begun_at is not None and now >= begun_at + _KNOWN_SECONDS
+
+    def read(self) -> float:
+        """Return the peak, nothing without any demand."""
+        return self._seen[0][1] if self._seen else 0
 
 
 def expect_busy(servers: int) -> float:
@@ -99,6 +102,15 @@
     }
 
 
+def raise_fleet(
+    bounds: FleetBounds, running: ZoneFleet, least: ZoneFleet
+) -> ZoneFleet:
+    """Return what runs, with more servers where too few do."""
+    lasting = max(running.lasting, least.lasting)
+    spot = max(running.spot, min(least.spot, bounds.most - lasting))
+    return ZoneFleet(lasting, spot)
+
+
 def _spread(
     bounds: FleetBounds,
     running: Mapping[str, ZoneFleet],
--- a/src/monsoonwall/gateway/ordering.py
+++ b/src/monsoonwall/gateway/ordering.py
@@ -12,6 +12,7 @@
     ZoneFleet,
     expect_busy,
     plan_zones,
+    raise_fleet,
 )
 from monsoonwall.gateway.duties import (
     DutyCalls,
@@ -61,7 +62,7 @@
         self._again_at: dict[tuple[str, str, bool], float] = {}
         self._ordered: dict[tuple[str, str, bool], int] = {}
         self._refusals: dict[tuple[str, str, bool], Backoff] = {}
-        # How many servers of each service were found at the start.
+        # The most lasting servers of each service that were ever found.
         self._found: dict[str, int] = {}
 
     def forget(self) -> None:
@@ -75,8 +76,9 @@
         now = self._clock.read_monotonic()
         for service in self._list_services():
             servers = self._knowledge.list_servers(service.name)
-            if servers:
-                self._found.setdefault(service.name, len(servers))
+            lasting = sum(not server.spot for server in servers)
+            found = self._found.get(service.name, 0)
+            self._found[service.name] = max(found, lasting)
             busy = self._loads.count_busy(service.name, servers)
             peak = self._peaks.setdefault(service.name, DemandPeak())
             peak.note(busy, now)
@@ -133,15 +135,21 @@
             scaling.spot_price is not None,
             {zone: scaling.zone_prices.get(zone, 1) for zone in self._zones},
         )
-        peak = self._peaks.get(service.name)
-        now = self._clock.read_monotonic()
-        busy = peak.read(now) if peak else None
-        if busy is None and not self._first_start:
-            # After a restart of all hosts, what runs was ordered by demand.
+        peak = self._peaks.setdefault(service.name, DemandPeak())
+        dry = self._list_dry(service.name)
+        if peak.is_known(self._clock.read_monotonic()):
+            return plan_zones(bounds, running, peak.read(), dry)
+        if self._first_start:
+            expected = expect_busy(self._found.get(service.name, 0))
+            return plan_zones(bounds, running, max(expected, peak.read()), dry)
+        # After a restart of all hosts, what runs was ordered by demand.
+        if not peak.read():
             return running
-        if busy is None:
-            busy = expect_busy(self._found.get(service.name, 0))
-        return plan_zones(bounds, running, busy, self._list_dry(service.name))
+        least = plan_zones(bounds, running, peak.read(), dry)
+        return {
+            zone: raise_fleet(bounds, running[zone], least[zone])
+            for zone in bounds.prices
+        }
 
     def _list_dry(self, service: str) -> frozenset[str]:
         """Return the zones that have no reclaimable servers to give."""
--- a/tests/decisions/test_fleet.py
+++ b/tests/decisions/test_fleet.py
@@ -84,13 +84,14 @@
     def test_peak_is_held_and_forgotten(self):
         peak = DemandPeak()
         peak.note(0, 0)
-        self.assertIsNone(peak.read(50))
+        self.assertFalse(peak.is_known(50))
         for now, busy in ((50, 1), (60, 5), (70, 2)):
             peak.note(busy, now)
-        self.assertIsNone(peak.read(57))
-        self.assertEqual(peak.read(70), 5)
+        self.assertFalse(peak.is_known(57))
+        self.assertTrue(peak.is_known(58))
+        self.assertEqual(peak.read(), 5)
         peak.note(1, 85)
-        self.assertEqual(peak.read(85), 2)
+        self.assertEqual(peak.read(), 2)
 
 
 class ReclaimReplayTest(unittest.TestCase):
--- a/tests/gateway/test_ordering.py
+++ b/tests/gateway/test_ordering.py
@@ -173,6 +173,35 @@
         await orderer.step(HOLDER)
         self.assertEqual(self.list_orders(), [])
 
+    async def test_demand_above_the_found_servers_is_met_at_once(self):
+        """A day began with a burst; four servers stood for 18 seconds."""
+        self.start('a', False, 1)
+        orderer = self.make()
+        self.ask(orderer, 3, 60_000)
+        await orderer.step(HOLDER)
+        # 60,000 tokens a second keep one and a half servers busy.
+        self.assertIn(('b', True, 3), self.list_orders())
+
+    async def test_servers_that_register_late_count_as_found(self):
+        self.start('a', False, 1)
+        orderer = self.make()
+        orderer.observe()
+        await orderer.step(HOLDER)
+        self.assertIn(('a', True, 1), self.list_orders())
+        for zone in ZONES:
+            self.start(zone, False, 2)
+        self.clock.advance(8)
+        orderer.observe()
+        await orderer.step(HOLDER)
+        self.assertIn(('a', True, 3), self.list_orders())
+
+    async def test_restarted_hosts_order_more_before_demand_is_known(self):
+        self.start('a', True, 1)
+        orderer = self.make(first_start=False)
+        self.ask(orderer, 3, 60_000)
+        await orderer.step(HOLDER)
+        self.assertIn(('a', True, 3), self.list_orders())
+
     async def test_demand_decides(self):
         for zone in ZONES:
             self.start(zone, True, 7)
