Let hosts of wide fleets hear of each other in time, and watch the store less

A host of a zone of 39 could publish 83 bytes a second and a zone's sum 300, while each tells four usage windows, its grants and its load: a kind went out about every ten seconds. The last windows were also reported 1.5 s after their end, sooner than sums of other zones arrive.

Now windows that are over are told once, hosts exchange twice a second with more room, and a window is reported when 0.45 of the time for it has passed. Usage counts by a time that does not step when the clock is set.

One host a zone watches the store, replaced when it is turned away; the first list may be seconds old, which costs a tenth, since a watch follows it; others look at the lease every half of its time.

--- a/src/monsoonwall/clocks.py
+++ b/src/monsoonwall/clocks.py
@@ -28,6 +28,14 @@
         return time.time()
 
 
+class BootClock(SystemClock):
+    """Tell a time that goes on while the machine is suspended."""
+
+    def read_monotonic(self) -> float:
+        """Return seconds since the machine started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """Tell a time that moves only when told, for tests and virtual time."""
 
@@ -45,3 +53,15 @@
     def advance(self, seconds: float) -> None:
         """Move the time forward."""
         self._now += seconds
+
+
+class SteadyTime:
+    """Tell Unix seconds that do not step when the clock is set."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._offset = clock.read_wall() - clock.read_monotonic()
+
+    def read(self) -> float:
+        """Return Unix seconds as of this host's start."""
+        return self._offset + self._clock.read_monotonic()
--- a/src/monsoonwall/decisions/gossip.py
+++ b/src/monsoonwall/decisions/gossip.py
@@ -20,18 +20,19 @@
 # one that stays at the limit from going back and forth.
 _FULL_AGAIN_MEMBERS: Final = 18
 FULL_ROUND_SECONDS: Final = 0.25
-WIDE_ROUND_SECONDS: Final = 1.0
+WIDE_ROUND_SECONDS: Final = 0.5
 RELAYS_PER_ZONE: Final = 2
 _FULL_PARTNERS: Final = 2
 _PUSH_FANOUT: Final = 4
-# What a host may receive and send of entries and of zone summaries; the rest
-# of its 24 kB a second is for digests and facts.
-_ENTRY_BYTES_PER_SECOND: Final = 6500
+# What a host may receive and send of entries and of zone summaries in a wide
+# fleet, beside digests and facts. Hosts of a zone of 40 publish 250 bytes a
+# second each, about what they have to tell.
+_ENTRY_BYTES_PER_SECOND: Final = 20_000
 # In full exchange the rounds come more often, and their digests grow with
 # the fleet; what they leave is for entries.
 _FULL_BYTES_PER_SECOND: Final = 22_000
 _DIGEST_BYTES_PER_HOST: Final = 700
-_SUMMARY_BYTES_PER_SECOND: Final = 3000
+_SUMMARY_BYTES_PER_SECOND: Final = 10_000
 
 
 @dataclass(frozen=True)
--- a/src/monsoonwall/decisions/leases.py
+++ b/src/monsoonwall/decisions/leases.py
@@ -45,7 +45,7 @@
     @property
     def poll_seconds(self) -> float:
         """Return the time from one look at another's lease to the next."""
-        return self.lease_seconds / 3
+        return self.lease_seconds / 2
 
     @property
     def use_seconds(self) -> float:
--- a/src/monsoonwall/gateway/conduct.py
+++ b/src/monsoonwall/gateway/conduct.py
@@ -165,9 +165,7 @@
         self._parts.loads.note_started(server, work, admitted.request.prompt)
         self._recorder.note_first(journey)
         if admitted.workspace is not None:
-            self._parts.usage.count(
-                admitted.workspace.name, self._parts.clock.read_wall()
-            )
+            self._parts.usage.count(admitted.workspace.name)
 
     def _choose_first_deadline(self, journey: Journey) -> float:
         route = journey.admitted.route
--- a/src/monsoonwall/gateway/following.py
+++ b/src/monsoonwall/gateway/following.py
@@ -13,6 +13,7 @@
 from monsoonwall.gateway.knowledge import Knowledge
 from monsoonwall.gateway.records import RecordKind, RecordSource
 from monsoonwall.logs import make_logger
+from monsoonwall.mesh.board import Board
 from monsoonwall.metrics import GATEWAY_STORE_HEARD
 from monsoonwall.platform.objects import StoreFailure
 
@@ -25,8 +26,11 @@
 _MOST_PAUSE_SECONDS: Final = 0.8
 
 # Hosts of each zone that watch the store; the others hear from them.
-WATCHERS_PER_ZONE: Final = 2
-_IDLE_SECONDS: Final = 1.0
+WATCHERS_PER_ZONE: Final = 1
+REACH_KIND: Final = 'store-reach'
+_REACHED: Final = b'+'
+_NOT_REACHED: Final = b'-'
+_IDLE_SECONDS: Final = 0.5
 # Part of the time within which a change has to be in force.
 _GATHER_SECONDS: Final = 0.3
 
@@ -39,6 +43,32 @@
     return own in ranked[:WATCHERS_PER_ZONE]
 
 
+class StoreReach:
+    """Tell the hosts of the zone whether this one reaches the store.
+
+    The store may turn single hosts away, of which others watch in their place.
+    """
+
+    def __init__(self, board: Board) -> None:
+        self._board = board
+        self._told = _REACHED
+
+    def note(self, reached: bool) -> None:
+        """Take in how a call ended."""
+        payload = _REACHED if reached else _NOT_REACHED
+        if payload != self._told:
+            self._told = payload
+            self._board.publish_entry(REACH_KIND, '', payload)
+
+    def list_unreached(self) -> frozenset[str]:
+        """Return the hosts that do not reach the store."""
+        return frozenset(
+            entry.origin
+            for entry in self._board.read_entries(REACH_KIND)
+            if entry.payload == _NOT_REACHED
+        )
+
+
 class Follower:
     """Keep one kind of record current."""
 
@@ -50,6 +80,7 @@
         clock: Clock,
         random: Random,
         should_watch: Callable[[], bool],
+        reach: StoreReach,
     ) -> None:
         self._kind = kind
         self._source = source
@@ -57,6 +88,8 @@
         self._clock = clock
         self._random = random
         self._should_watch = should_watch
+        self._reach = reach
+        self._listed = False
         self._backoff = Backoff(_FIRST_PAUSE_SECONDS, _MOST_PAUSE_SECONDS)
         self._known: int | None = None
         self._reached = True
@@ -80,12 +113,14 @@
             await self._pause(failure)
 
     async def _list(self) -> StoreFailure | None:
-        listed = await self._source.list_records(self._kind)
+        # A list whose history was gone at the watch has to be current.
+        listed = await self._source.list_records(self._kind, self._listed)
         if not is_successful(listed):
             return listed.failure()
         listing = listed.unwrap()
         self._knowledge.adopt_listing(self._kind, listing)
         self._known = listing.revision
+        self._listed = True
         return None
 
     async def _watch(self) -> StoreFailure | None:
@@ -107,6 +142,7 @@
 
     def _note_reached(self) -> None:
         self._backoff.succeed()
+        self._reach.note(reached=True)
         GATEWAY_STORE_HEARD.labels(self._kind).set(self._clock.read_wall())
         if not self._reached:
             self._reached = True
@@ -114,6 +150,7 @@
 
     async def _pause(self, failure: StoreFailure) -> None:
         self._knowledge.note_store_failure()
+        self._reach.note(reached=False)
         if self._reached:
             self._reached = False
             _log.warning(
@@ -130,9 +167,10 @@
     clock: Clock,
     random: Random,
     should_watch: Callable[[], bool],
+    reach: StoreReach,
 ) -> tuple[Follower, ...]:
     """Return a follower for each kind that a gateway needs."""
     return tuple(
-        Follower(kind, source, knowledge, clock, random, should_watch)
+        Follower(kind, source, knowledge, clock, random, should_watch, reach)
         for kind in RecordKind
     )
--- a/src/monsoonwall/gateway/holding.py
+++ b/src/monsoonwall/gateway/holding.py
@@ -1,10 +1,9 @@
 """Hold the lease of the duties on one host at a time."""
 
 import asyncio
-import time
 from typing import Final
 
-from monsoonwall.clocks import Clock, SystemClock
+from monsoonwall.clocks import BootClock, Clock
 from monsoonwall.control.keeper import LeaseKeeper
 from monsoonwall.decisions.leases import LeaseTiming, choose_candidates
 from monsoonwall.gateway.duties import Holder
@@ -25,14 +24,6 @@
 _log = make_logger('duty')
 
 
-class BootClock(SystemClock):
-    """Tell a time that goes on while the machine is suspended."""
-
-    def read_monotonic(self) -> float:
-        """Return seconds since the machine started."""
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class DutyTask:
     """Want the lease if this host is a candidate, and do its work."""
 
--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -8,7 +8,11 @@
 
 from monsoonwall.clocks import Clock
 from monsoonwall.entry.meshing import Mesh
-from monsoonwall.gateway.following import choose_watcher, make_followers
+from monsoonwall.gateway.following import (
+    StoreReach,
+    choose_watcher,
+    make_followers,
+)
 from monsoonwall.gateway.holding import make_duties
 from monsoonwall.gateway.knowledge import Knowledge
 from monsoonwall.gateway.outside import Outside
@@ -62,12 +66,14 @@
             clock,
             self._random,
         )
+        self._reach = StoreReach(self._mesh.board)
         self._followers = make_followers(
             outside.records,
             self._knowledge,
             clock,
             self._random,
             self._should_watch,
+            self._reach,
         )
         self._ready = ReadyServer(
             settings.ready_address, outside.ready_path, self._is_ready
@@ -115,10 +121,13 @@
 
     def _should_watch(self) -> bool:
         settings = self._settings
+        unreached = self._reach.list_unreached()
         near = [
             peer.name
             for peer in self._mesh.peers.list_peers()
-            if peer.zone == settings.zone and not peer.leaving
+            if peer.zone == settings.zone
+            and not peer.leaving
+            and peer.name not in unreached
         ]
         return choose_watcher(settings.host_name, (*near, settings.host_name))
 
--- a/src/monsoonwall/gateway/records.py
+++ b/src/monsoonwall/gateway/records.py
@@ -49,9 +49,12 @@
 
     @abstractmethod
     async def list_records(
-        self, kind: RecordKind
+        self, kind: RecordKind, current: bool
     ) -> Result[Listing, StoreFailure]:
-        """Return all records of a kind."""
+        """Return all records of a kind, as of seconds ago if not current.
+
+        What is not current costs a tenth; a watch brings what it lacks.
+        """
 
     @abstractmethod
     async def watch_records(
--- a/src/monsoonwall/gateway/rollouts.py
+++ b/src/monsoonwall/gateway/rollouts.py
@@ -9,7 +9,7 @@
 
 from xxhash import xxh3_64_hexdigest
 
-from monsoonwall.clocks import Clock
+from monsoonwall.clocks import Clock, SteadyTime
 from monsoonwall.configuration.model import BackendServer as ConfiguredServer
 from monsoonwall.configuration.model import Move
 from monsoonwall.decisions.evidence import ServerGroups
@@ -53,18 +53,6 @@
 _OTHER_VERSIONS: Final = ''
 
 
-class SteadyTime:
-    """Tell Unix seconds that do not step when the clock is set."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._offset = clock.read_wall() - clock.read_monotonic()
-
-    def read(self) -> float:
-        """Return Unix seconds as of this host's start."""
-        return self._offset + self._clock.read_monotonic()
-
-
 class RolloutBook:
     """Hold the course of each roll-out."""
 
--- a/src/monsoonwall/gateway/serving.py
+++ b/src/monsoonwall/gateway/serving.py
@@ -3,7 +3,7 @@
 from random import Random
 from typing import Final
 
-from monsoonwall.clocks import Clock
+from monsoonwall.clocks import BootClock, Clock
 from monsoonwall.entry.meshing import Mesh
 from monsoonwall.gateway.conduct import Conductor
 from monsoonwall.gateway.entrance import make_entrance
@@ -46,7 +46,7 @@
         self._met = False
         self.pool = ChannelPool(clock)
         self.usage = UsageBook(
-            mesh.board, clock, settings.host_name, settings.bounds
+            mesh.board, BootClock(), settings.host_name, settings.bounds
         )
         self.loads = LoadBook(mesh.board, clock)
         self.rollouts = RolloutBook(
--- a/src/monsoonwall/gateway/usage.py
+++ b/src/monsoonwall/gateway/usage.py
@@ -1,12 +1,13 @@
 """Count the requests that begin, and report each window once."""
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import Final
 
 from msgspec import DecodeError, Struct, ValidationError, json, msgpack
 from returns.pipeline import is_successful
 
-from monsoonwall.clocks import Clock
+from monsoonwall.clocks import Clock, SteadyTime
 from monsoonwall.gateway.duties import (
     DutyCalls,
     DutyEnding,
@@ -30,8 +31,9 @@
 _KEPT_WINDOWS: Final = 12
 # A host that has just started hears the counts of the others by then.
 _HEARING_SECONDS: Final = 2.5
-# Counts of the last moments of a window reach the holder by then.
-_SETTLE_SECONDS: Final = 1.5
+# Part of the time for a report in which the counts of a window reach the
+# holder, over the relays of wide fleets too; the rest is for its calls.
+_SETTLE_PART: Final = 0.45
 
 _log = make_logger('usage')
 
@@ -55,17 +57,19 @@
         self._own_name = own_name
         self._seconds = bounds.usage_window_seconds
         self._settled_at = clock.read_monotonic() + _HEARING_SECONDS
-        self._told = _Told(clock.read_wall(), {})
-        self._published = b''
+        self._settle_seconds = _SETTLE_PART * bounds.usage_late_seconds
+        self._time = SteadyTime(clock)
+        self._told = _Told(self._time.read(), {})
+        self._published: dict[str, bytes] = {}
         self._heard: dict[tuple[str, float], dict[int, Counts]] = {}
-        # The last payload of each origin, of which there are as many as hosts.
-        self._payloads: dict[str, bytes] = {}
+        # The last payload of each origin and key, as many as hosts tell.
+        self._payloads: dict[tuple[str, str], bytes] = {}
         board.declare_merge(USAGE_KIND, merge_usage)
 
-    def count(self, workspace: str, began_wall: float) -> None:
-        """Count a request that a server began at this Unix time."""
+    def count(self, workspace: str) -> None:
+        """Count a request that a server begins now."""
         window = self._told.windows.setdefault(
-            int(began_wall // self._seconds), {}
+            int(self._time.read() // self._seconds), {}
         )
         window[workspace] = window.get(workspace, 0) + 1
 
@@ -76,18 +80,16 @@
 
     def exchange(self) -> None:
         """Tell the other hosts and hear them."""
-        current = int(self._clock.read_wall() // self._seconds)
+        current = int(self._time.read() // self._seconds)
         self._told.windows = {
             number: counts
             for number, counts in self._told.windows.items()
             if number > current - _TOLD_WINDOWS
         }
-        payload = msgpack.encode(self._told)
-        if payload != self._published:
-            self._published = payload
-            self._board.publish_entry(USAGE_KIND, '', payload)
+        for number, counts in self._told.windows.items():
+            self._publish(number, counts)
         for entry in self._board.read_entries(USAGE_KIND):
-            self._hear(entry.origin, entry.payload)
+            self._hear((entry.origin, entry.key), entry.payload)
         self._forget(current - _KEPT_WINDOWS)
 
     def sum_window(self, number: int) -> Counts:
@@ -100,14 +102,25 @@
 
     def find_due(self) -> int:
         """Return the last window whose counts have settled."""
-        settled = self._clock.read_wall() - _SETTLE_SECONDS
+        settled = self._time.read() - self._settle_seconds
         return int(settled // self._seconds) - 1
 
-    def _hear(self, origin: str, payload: bytes) -> None:
-        if self._payloads.get(origin) == payload:
+    def _publish(self, number: int, counts: Counts) -> None:
+        # Windows that are over are told once; their keys are used again.
+        key = str(number % _TOLD_WINDOWS)
+        payload = msgpack.encode(
+            _Told(self._told.started_wall, {number: counts})
+        )
+        if payload != self._published.get(key):
+            self._published[key] = payload
+            self._board.publish_entry(USAGE_KIND, key, payload)
+
+    def _hear(self, place: tuple[str, str], payload: bytes) -> None:
+        if self._payloads.get(place) == payload:
             return
-        self._payloads[origin] = payload
+        self._payloads[place] = payload
         told = _decode_told(payload)
+        origin = place[0]
         # Kept also after the host is gone, with what it counted. The sum of a
         # zone shrinks when a host leaves it; what was counted stays.
         known = self._heard.setdefault((origin, told.started_wall), {})
@@ -125,14 +138,13 @@
 
 
 def merge_usage(payloads: Sequence[bytes]) -> bytes:
-    """Return the sum of what several hosts count."""
-    merged = _Told(0, {})
-    for told in map(_decode_told, payloads):
-        for number, counts in told.windows.items():
-            window = merged.windows.setdefault(number, {})
-            for workspace, count in counts.items():
-                window[workspace] = count + window.get(workspace, 0)
-    return msgpack.encode(merged)
+    """Return the sum of what several hosts count in the latest window."""
+    told = [_decode_told(payload).windows for payload in payloads]
+    latest = max((number for windows in told for number in windows), default=0)
+    summed: Counter[str] = Counter()
+    for windows in told:
+        summed.update(windows.get(latest, {}))
+    return msgpack.encode(_Told(0, {latest: dict(summed)}))
 
 
 def _decode_told(payload: bytes) -> _Told:
--- a/src/monsoonwall/platform/store.py
+++ b/src/monsoonwall/platform/store.py
@@ -1,5 +1,6 @@
 """Reach the metadata store of the users' platform."""
 
+from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any, Final
 from urllib.parse import quote, urlencode
@@ -58,6 +59,7 @@
         RecordKind.rollout: 'rollouts',
     }
 )
+_NO_OPTIONS: Final[Mapping[str, Any]] = MappingProxyType({})
 _FIRST_FAILURE: Final = 300
 _JSON_HEADERS: Final = (('Content-Type', 'application/json'),)
 _SHOWN_BYTES: Final = 200
@@ -148,10 +150,14 @@
         return Success(_make_stored(key, changed[-1]))
 
     async def list_records(
-        self, kind: RecordKind
+        self, kind: RecordKind, current: bool
     ) -> Result[Listing, StoreFailure]:
-        """Return all records of a kind."""
-        listed = await self._list(_KINDS[kind], CallReason.configuration)
+        """Return all records of a kind, as of seconds ago if not current."""
+        listed = await self._list(
+            _KINDS[kind],
+            CallReason.configuration,
+            {} if current else {'allow_stale': 1},
+        )
         return listed.map(
             lambda found: Listing(
                 tuple(
@@ -199,12 +205,16 @@
         )
 
     async def _list(
-        self, kind: str, reason: CallReason
+        self,
+        kind: str,
+        reason: CallReason,
+        options: Mapping[str, Any] = _NO_OPTIONS,
     ) -> Result[StoreListed, StoreFailure]:
         objects: list[StoreObject] = []
-        query = ''
+        query = dict(options)
         while True:
-            request = OutgoingRequest('GET', f'{_OBJECTS}/{kind}{query}', ())
+            path = f'{_OBJECTS}/{kind}?{urlencode(query)}'.rstrip('?')
+            request = OutgoingRequest('GET', path, ())
             page = (await self._fetch(request, reason)).bind(decode_items)
             if not is_successful(page):
                 return page
@@ -212,8 +222,7 @@
             objects.extend(decode_each(found.items, StoreObject))
             if not found.has_more or not objects:
                 return Success(StoreListed(found.at, tuple(objects)))
-            after = objects[-1].metadata.name
-            query = f'?{urlencode({"after": after})}'
+            query['after'] = objects[-1].metadata.name
 
     async def _watch(
         self, kind: str, after: int, deadline: float, reason: CallReason
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -23,14 +23,16 @@
         self.facts = {}
 
     def publish_entry(self, kind, key, payload):
-        self.entries[kind, self.name] = Entry(self.name, kind, key, payload)
+        self.entries[kind, self.name, key] = Entry(
+            self.name, kind, key, payload
+        )
 
     def publish_fact(self, fact):
         self.facts[fact.kind, fact.key] = fact
 
     def read_entries(self, kind):
         return tuple(
-            entry for (held, _), entry in self.entries.items() if held == kind
+            entry for (held, *_), entry in self.entries.items() if held == kind
         )
 
     def read_facts(self, kind):
--- /dev/null
+++ b/tests/gateway/test_following.py
@@ -0,0 +1,85 @@
+"""Follow the store's records from as few hosts as are needed."""
+
+import asyncio
+import unittest
+from random import Random
+
+from returns.result import Failure, Success
+
+from monsoonwall.clocks import SystemClock
+from monsoonwall.gateway.following import (
+    Follower,
+    StoreReach,
+    choose_watcher,
+)
+from monsoonwall.gateway.knowledge import Knowledge
+from monsoonwall.gateway.records import Listing, RecordKind, RecordSource
+from monsoonwall.platform.documents import PlatformCodec
+from monsoonwall.platform.objects import StoreFailure
+from tests.gateway.fakes import FakeBoard
+
+HOSTS = ('edge-1', 'edge-2', 'edge-3')
+
+
+class ScriptedSource(RecordSource):
+    """Give answers in turn and note what was asked."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.asked = []
+        self.drained = asyncio.Event()
+
+    async def list_records(self, kind, current):
+        self.asked.append(('list', current))
+        return await self._answer()
+
+    async def watch_records(self, kind, after, deadline):
+        self.asked.append(('watch', after))
+        return await self._answer()
+
+    async def _answer(self):
+        if not self.answers:
+            self.drained.set()
+            await asyncio.sleep(3600)
+        return self.answers.pop(0)
+
+
+class FollowerTest(unittest.IsolatedAsyncioTestCase):
+    """Let one follower ask a scripted store."""
+
+    async def follow(self, answers):
+        clock = SystemClock()
+        self.reach = StoreReach(FakeBoard('edge-1'))
+        source = ScriptedSource(answers)
+        follower = Follower(
+            RecordKind.server,
+            source,
+            Knowledge(PlatformCodec(), clock, 2),
+            clock,
+            Random(1),
+            lambda: True,
+            self.reach,
+        )
+        running = asyncio.create_task(follower.run())
+        await source.drained.wait()
+        running.cancel()
+        return source.asked
+
+    async def test_first_list_may_be_old_but_not_one_after_a_gap(self):
+        listing = Success(Listing((), 7))
+        gone = Failure(StoreFailure.missing)
+        asked = await self.follow([listing, gone, listing, gone, listing])
+        self.assertEqual(
+            asked[:4],
+            [('list', False), ('watch', 7), ('list', True), ('watch', 7)],
+        )
+
+    async def test_host_that_is_turned_away_tells_so(self):
+        turned_away = Failure(StoreFailure.unavailable)
+        await self.follow([turned_away, turned_away])
+        self.assertEqual(self.reach.list_unreached(), {'edge-1'})
+
+    def test_another_host_watches_in_its_place(self):
+        watcher = next(one for one in HOSTS if choose_watcher(one, HOSTS))
+        others = [one for one in HOSTS if one != watcher]
+        self.assertEqual(sum(choose_watcher(one, others) for one in others), 1)
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -40,11 +40,11 @@
 
     def count(self, name, workspace, times=1):
         for _ in range(times):
-            self.books[name].count(workspace, self.clock.read_wall())
+            self.books[name].count(workspace)
 
     def end_window(self):
         self.exchange()
-        self.clock.advance(7)
+        self.clock.advance(10)
         self.exchange()
 
     def exchange(self):
@@ -64,13 +64,14 @@
         self.count('b', 'depot', 2)
         self.exchange()
         payloads = [entry.payload for entry in self.shared.values()]
-        zone = Entry('zone/far', USAGE_KIND, '', merge_usage(payloads))
-        self.shared[USAGE_KIND, 'zone/far'] = zone
+        key = str(WINDOW % 4)
+        zone = Entry('zone/far', USAGE_KIND, key, merge_usage(payloads))
+        self.shared[USAGE_KIND, 'zone/far', key] = zone
         self.exchange()
         self.assertEqual(self.books['a'].sum_window(WINDOW), {'depot': 10})
         # A host of that zone leaves.
         alone = merge_usage(payloads[:1])
-        self.shared[USAGE_KIND, 'zone/far'] = replace(zone, payload=alone)
+        self.shared[USAGE_KIND, 'zone/far', key] = replace(zone, payload=alone)
         self.exchange()
         self.assertEqual(self.books['a'].sum_window(WINDOW), {'depot': 10})
 
@@ -88,11 +89,13 @@
 
     async def test_next_holder_repeats_the_frozen_counts(self):
         self.count('a', 'depot', 3)
+        late = self.make_book('c')
+        late.count('depot')
         self.end_window()
         self.duties.endings = [DutyEnding.lost for _ in range(9)]
         await self.make_reporter('a').step(Holder('a', 1))
         # Counts that arrive later do not change what was frozen.
-        self.books['b'].count('depot', START)
+        self.books['c'] = late
         self.exchange()
         await self.make_reporter('b').step(Holder('b', 2))
         windows = dict(self.list_reports())
@@ -112,7 +115,9 @@
     async def test_counts_of_a_host_that_is_gone_remain(self):
         self.count('a', 'depot', 3)
         self.exchange()
-        self.shared.pop(('gateway-usage', 'a'))
+        for place in tuple(self.shared):
+            if place[1] == 'a':
+                self.shared.pop(place)
         self.books.pop('a')
         self.end_window()
         await self.make_reporter('b').step(Holder('b', 1))
@@ -130,3 +135,35 @@
         self.exchange()
         await reporter.step(Holder('a', 1))
         self.assertEqual(self.list_reports(), [(WINDOW, {'depot': 3})])
+
+    def test_windows_that_are_over_are_not_told_again(self):
+        """Each host told four windows a second and outran its share."""
+        self.count('a', 'depot', 3)
+        self.exchange()
+        self.clock.advance(5)
+        told = dict(self.shared)
+        self.count('a', 'depot')
+        self.exchange()
+        changed = [
+            key for key in self.shared if self.shared[key] != told.get(key)
+        ]
+        self.assertEqual(changed, [(USAGE_KIND, 'a', str((WINDOW + 1) % 4))])
+
+    def test_windows_hold_though_the_clock_is_set(self):
+        """Windows of one day were off by a third after clocks had stepped."""
+        clock = SteppingClock(START)
+        book = UsageBook(FakeBoard('c', self.shared), clock, 'c', BOUNDS)
+        clock.step = 60
+        book.count('depot')
+        book.exchange()
+        self.assertEqual(book.sum_window(WINDOW), {'depot': 1})
+        self.assertEqual(book.find_due(), WINDOW - 2)
+
+
+class SteppingClock(ManualClock):
+    """Tell a time of day that is set to another."""
+
+    step = 0
+
+    def read_wall(self):
+        return super().read_wall() + self.step
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -53,14 +53,16 @@
         self.store.put('servers', 'i-1', SERVER)
         self.store.objects['servers', 'odd'] = {'metadata': 7}
         self.store.objects['servers', 'text'] = 'not an object'
-        listed = await self.client.list_records(RecordKind.server)
+        listed = await self.client.list_records(RecordKind.server, current=True)
         names = [record.name for record in listed.unwrap().records]
         self.assertEqual(names, ['i-1'])
 
     async def test_only_the_configuration_in_force_counts(self):
         self.store.put('config', 'main', {'version': 1})
         self.store.put('config', 'draft', {'version': 9})
-        listed = await self.client.list_records(RecordKind.catalogue)
+        listed = await self.client.list_records(
+            RecordKind.catalogue, current=True
+        )
         names = [record.name for record in listed.unwrap().records]
         self.assertEqual(names, ['main'])
 
@@ -118,7 +120,7 @@
         self.addCleanup(server.stop)
         store.put('servers', 'i-1', spec)
         listed = await PlatformStore(address, SystemClock()).list_records(
-            RecordKind.server
+            RecordKind.server, current=True
         )
         return PlatformCodec().decode_server(listed.unwrap().records[0])
 
