Leave servers alone that say they leave or are full, and look at few servers

Three changes of the request path. A server is left alone from the head of the first such answer on, whatever the store says, kept channels to it are closed, its runs are moved as for a listed one, and the other hosts are told; a new life of it is used. One that asks for rest gets nothing from this host until then and does not count as failed; if all rest, callers are refused at once with the time.

A request now looks at a part of the servers that shrinks with the number of hosts, and at the home of its prompt.

--- a/src/monsoonwall/decisions/health.py
+++ b/src/monsoonwall/decisions/health.py
@@ -1,7 +1,7 @@
 """Tell from results which servers to leave alone for a while.
 
 Answers servers that crash, fall silent or fail a part of their requests
-while their health checks pass.
+while their health checks pass, and full ones that ask to be left alone.
 """
 
 from dataclasses import dataclass
@@ -20,6 +20,15 @@
     failing: float = 0
     rests: int = 0
     rest_until: float = float('-inf')
+    asked_until: float = float('-inf')
+
+    def note_asked_rest(self, until: float) -> None:
+        """Take in that the server wants nothing from this host until then."""
+        self.asked_until = max(self.asked_until, until)
+
+    def is_asked_off(self, now: float) -> bool:
+        """Tell whether the server still wants nothing from this host."""
+        return now < self.asked_until
 
     def note_success(self) -> None:
         """Take in an attempt that went well."""
--- a/src/monsoonwall/decisions/placement.py
+++ b/src/monsoonwall/decisions/placement.py
@@ -3,10 +3,16 @@
 Answers bursts and lost servers: work goes where its answer begins first, by
 prompt tokens that are yet to be read there and by what is cached, rather
 than by the number of requests, since prompts differ a hundredfold.
+
+Answers many hosts that hear of each other's work late: if all of them chose
+among all servers, the one that looked best would get the work of the whole
+fleet until they heard of it. So each request looks at a few servers, fewer
+the more hosts there are.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
+from random import Random
 from typing import Final
 
 # What the way to another zone and its traffic cost, compared with waiting.
@@ -50,6 +56,22 @@
     full: bool
 
 
+# Hosts that hear of each other's work soon enough to choose among all servers.
+_CLOSE_HOSTS: Final = 9
+_LEAST_SAMPLE: Final = 2
+
+
+def sample_servers(
+    names: Collection[str], hosts: int, random: Random
+) -> tuple[str, ...]:
+    """Return the servers that one request looks at."""
+    size = max(_LEAST_SAMPLE, -(-len(names) * _CLOSE_HOSTS // max(1, hosts)))
+    ordered = sorted(names)
+    if size >= len(ordered):
+        return tuple(ordered)
+    return tuple(random.sample(ordered, size))
+
+
 def estimate_start(candidate: Candidate) -> float:
     """Return in how many seconds an answer would begin."""
     reading = candidate.waiting_tokens + candidate.new_tokens
--- a/src/monsoonwall/gateway/conduct.py
+++ b/src/monsoonwall/gateway/conduct.py
@@ -179,11 +179,13 @@
         self, server: BackendServer, outcome: SendingResult
     ) -> None:
         health = self._parts.loads.find_health(server)
+        now = self._parts.clock.read_monotonic()
         if outcome.ending is AttemptEnding.completed:
             health.note_success()
         elif outcome.ending in _SILENT:
-            health.note_silence(self._parts.clock.read_monotonic())
-        else:
+            health.note_silence(now)
+        elif not health.is_asked_off(now):
+            # A full server that says when to come back has not failed.
             health.note_failure()
 
 
--- a/src/monsoonwall/gateway/dialect.py
+++ b/src/monsoonwall/gateway/dialect.py
@@ -39,7 +39,9 @@
 class AnswerFacts:
     """Hold what the head of a server's response says.
 
-    ``keep_seconds`` is how long the server keeps the idle channel open.
+    ``keep_seconds`` is how long the server keeps the idle channel open,
+    ``rest_seconds`` for how long it wants nothing from this host, and
+    ``leaving`` whether it is about to end.
     """
 
     attempt_id: str
@@ -47,6 +49,8 @@
     not_executed: bool
     closes: bool
     keep_seconds: float | None = None
+    rest_seconds: float | None = None
+    leaving: bool = False
 
 
 class Dialect(ABC):
--- a/src/monsoonwall/gateway/knowledge.py
+++ b/src/monsoonwall/gateway/knowledge.py
@@ -5,14 +5,15 @@
 that is old comes back.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Final
 
 from monsoonwall.clocks import Clock
 from monsoonwall.gateway.model import (
     BackendServer,
     Catalogue,
-    Limits,
     Rollout,
 )
 from monsoonwall.gateway.records import (
@@ -31,12 +32,36 @@
 _DRAIN_PART: Final = 0.7
 # How long after a failed call the store counts as just returned.
 _UNSETTLED_SECONDS: Final = 3.0
+_MAX_DEPARTURES: Final = 10_000
 
 _log = make_logger('knowledge')
 
 Observer = Callable[[Record], None]
 
 
+class _DepartingLives:
+    """Hold which lives of servers have said themselves that they leave."""
+
+    def __init__(self) -> None:
+        self._born: OrderedDict[str, int] = OrderedDict()
+
+    def add(self, name: str, born: int) -> bool:
+        """Take in a life; return whether it is new."""
+        if self._born.get(name) == born:
+            return False
+        self._born[name] = born
+        self._born.move_to_end(name)
+        while len(self._born) > _MAX_DEPARTURES:
+            self._born.popitem(last=False)
+        return True
+
+    def mark(self, server: BackendServer) -> BackendServer:
+        """Return a server as leaving if it has said so."""
+        if self._born.get(server.name) != server.born:
+            return server
+        return replace(server, leaving=True)
+
+
 class Knowledge:
     """Adopt records by revision and serve what they say."""
 
@@ -50,16 +75,12 @@
         self._records: dict[tuple[RecordKind, str], Record] = {}
         self._servers: dict[str, BackendServer] = {}
         self._lapsing: dict[str, float] = {}
+        self._departing = _DepartingLives()
         self._store_failed_at = float('-inf')
         self._observers: list[Observer] = []
         self.catalogue: Catalogue | None = None
         self._rollouts: dict[str, Rollout] = {}
 
-    @property
-    def limits(self) -> Limits | None:
-        """Return what callers may send, None while it is unknown."""
-        return self.catalogue.limits if self.catalogue else None
-
     def subscribe(self, observer: Observer) -> None:
         """Call an observer with each record from when it is adopted."""
         self._observers.append(observer)
@@ -86,6 +107,19 @@
         """Return a server by its name."""
         return self._servers.get(name)
 
+    def note_leaving(self, name: str, born: int) -> bool:
+        """Take in that a life of a server leaves; return whether it is new."""
+        if not self._departing.add(name, born):
+            return False
+        _log.info('Server says that it leaves.', server=name, born=born)
+        server = self._servers.get(name)
+        if server is not None:
+            self._servers[name] = self._departing.mark(server)
+            record = self._records[RecordKind.server, name]
+            for observer in self._observers:
+                observer(record)
+        return True
+
     def list_rollouts(self) -> tuple[Rollout, ...]:
         """Return the latest roll-out of each service that has one."""
         return tuple(self._rollouts.values())
@@ -144,6 +178,7 @@
         if server is None:
             self._servers.pop(record.name, None)
             return
+        server = self._departing.mark(server)
         self._servers[record.name] = server
         _log.info(
             'Server entry adopted.',
--- a/src/monsoonwall/gateway/placing.py
+++ b/src/monsoonwall/gateway/placing.py
@@ -1,6 +1,6 @@
 """Find the server for a request, or tell why there is none for it."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from random import Random
 from typing import Final
@@ -11,6 +11,7 @@
     Candidate,
     Placement,
     choose_server,
+    sample_servers,
 )
 from monsoonwall.gateway.journeys import Journey
 from monsoonwall.gateway.knowledge import Knowledge
@@ -42,6 +43,7 @@
         zone: str,
         clock: Clock,
         random: Random,
+        count_hosts: Callable[[], int],
     ) -> None:
         self._knowledge = knowledge
         self._loads = loads
@@ -49,19 +51,16 @@
         self._zone = zone
         self._clock = clock
         self._random = random
+        self._count_hosts = count_hosts
 
     def choose(self, journey: Journey) -> Place | Refusal:
         """Return the place for the next sending, or why there is none."""
-        servers = self._list_servers(journey)
+        known = self._list_servers(journey)
+        servers = self._drop_asked_off(known)
         candidates = self._describe(journey, servers)
         placement = choose_server(tuple(candidates.values()))
         if placement is None:
-            return Refusal(
-                RefusalReason.no_server,
-                journey.effect,
-                'no server of the service is known',
-                self._spread_retry(_LEAST_RETRY_SECONDS),
-            )
+            return self._refuse_without_server(journey, known)
         refusal = self._judge_wait(journey, placement)
         if refusal is not None:
             return refusal
@@ -69,7 +68,7 @@
 
     def choose_other(self, journey: Journey, left: str) -> Place | None:
         """Return where a run that has to leave a server goes on."""
-        servers = self._list_servers(journey)
+        servers = self._drop_asked_off(self._list_servers(journey))
         servers.pop(left, None)
         candidates = self._describe(journey, servers)
         placement = choose_server(tuple(candidates.values()))
@@ -102,6 +101,39 @@
         }
         return dict(self._rollouts.filter_servers(journey, servers))
 
+    def _drop_asked_off(
+        self, servers: Mapping[str, BackendServer]
+    ) -> dict[str, BackendServer]:
+        """Return the servers that did not ask to be left alone for now."""
+        now = self._clock.read_monotonic()
+        return {
+            name: server
+            for name, server in servers.items()
+            if not self._loads.find_health(server).is_asked_off(now)
+        }
+
+    def _refuse_without_server(
+        self, journey: Journey, known: Mapping[str, BackendServer]
+    ) -> Refusal:
+        if not known:
+            return Refusal(
+                RefusalReason.no_server,
+                journey.effect,
+                'no server of the service is known',
+                self._spread_retry(_LEAST_RETRY_SECONDS),
+            )
+        first = min(
+            self._loads.find_health(server).asked_until
+            for server in known.values()
+        )
+        wait = first - self._clock.read_monotonic()
+        return Refusal(
+            RefusalReason.overloaded,
+            journey.effect,
+            f'all servers ask to be left alone for {wait:.2f} s',
+            self._spread_retry(max(wait, _LEAST_RETRY_SECONDS)),
+        )
+
     def _describe(
         self, journey: Journey, servers: Mapping[str, BackendServer]
     ) -> dict[str, Candidate]:
@@ -111,6 +143,12 @@
         if servers and prompt is not None and prompt.subject:
             home = choose_by_hash(prompt.subject, servers)
         fresh = [name for name in servers if name not in journey.tried]
+        looked_at = {
+            *sample_servers(
+                fresh or servers, self._count_hosts(), self._random
+            ),
+            *(name for name in (home,) if name in fresh),
+        }
         return {
             name: self._loads.make_candidate(
                 servers[name],
@@ -119,7 +157,7 @@
                 near=servers[name].zone == self._zone,
                 home=name == home,
             )
-            for name in fresh or servers
+            for name in looked_at
         }
 
     def _judge_wait(
--- a/src/monsoonwall/gateway/pool.py
+++ b/src/monsoonwall/gateway/pool.py
@@ -53,7 +53,7 @@
         self, server: BackendServer, channel: Channel, facts: AnswerFacts
     ) -> None:
         """Keep a channel whose exchange ended in order."""
-        if facts.closes or not channel.sound:
+        if facts.closes or facts.leaving or not channel.sound:
             channel.close()
             return
         told = facts.keep_seconds
--- a/src/monsoonwall/gateway/sending.py
+++ b/src/monsoonwall/gateway/sending.py
@@ -7,6 +7,7 @@
 
 from monsoonwall.clocks import Clock
 from monsoonwall.gateway.dialect import AnswerFacts, Attempt, Dialect
+from monsoonwall.gateway.model import BackendServer
 from monsoonwall.gateway.pool import ChannelPool
 from monsoonwall.pipeline.messages import AttemptEnding
 from monsoonwall.transport.channels import Channel, Message
@@ -36,6 +37,14 @@
         }
 
 
+class AnswerObserver(ABC):
+    """Take in what servers say of themselves in their answers."""
+
+    @abstractmethod
+    def note_answer(self, server: BackendServer, facts: AnswerFacts) -> None:
+        """Take in the head of an answer as soon as it has arrived."""
+
+
 class AnswerSink(ABC):
     """Take in a successful answer while it arrives."""
 
@@ -56,11 +65,12 @@
     """Carry out attempts over kept channels."""
 
     def __init__(
-        self, pool: ChannelPool, dialect: Dialect, clock: Clock
+        self, dialect: Dialect, clock: Clock, observer: AnswerObserver
     ) -> None:
-        self._pool = pool
+        self.pool = ChannelPool(clock)
         self._dialect = dialect
         self._clock = clock
+        self._observer = observer
 
     async def send(
         self, attempt: Attempt, sink: AnswerSink, first_deadline: float
@@ -70,10 +80,12 @@
         Closes the channel when cancelled, which also ends the server's work.
         """
         try:
-            channel = await self._pool.take(attempt.server, _CONNECT_SECONDS)
+            channel = await self.pool.take(attempt.server, _CONNECT_SECONDS)
         except OSError as error:
             return SendingResult(AttemptEnding.unreachable, str(error))
-        exchange = _Exchange(attempt, self._dialect, sink, channel)
+        exchange = _Exchange(
+            attempt, self._dialect, sink, channel, self._observer
+        )
         now = self._clock.read_monotonic()
         try:
             channel.send(self._dialect.write_attempt(attempt, now))
@@ -82,7 +94,7 @@
             channel.close()
             raise
         if exchange.reusable:
-            self._pool.give_back(attempt.server, channel, exchange.facts)
+            self.pool.give_back(attempt.server, channel, exchange.facts)
         else:
             channel.close()
         return outcome
@@ -97,7 +109,9 @@
         dialect: Dialect,
         sink: AnswerSink,
         channel: Channel,
+        observer: AnswerObserver,
     ) -> None:
+        self._observer = observer
         self.reusable = False
         self.facts = AnswerFacts('', False, False, True)
         self._attempt = attempt
@@ -132,6 +146,7 @@
                 )
             self.facts = self._dialect.read_answer(message)
             if self._is_own_answer():
+                self._observer.note_answer(self._attempt.server, self.facts)
                 return message
             if not await self._pass_over(message):
                 break
--- a/src/monsoonwall/gateway/serving.py
+++ b/src/monsoonwall/gateway/serving.py
@@ -14,13 +14,13 @@
 from monsoonwall.gateway.outside import Outside
 from monsoonwall.gateway.parts import Parts
 from monsoonwall.gateway.placing import Placer
-from monsoonwall.gateway.pool import ChannelPool
 from monsoonwall.gateway.repeating import Repeater
 from monsoonwall.gateway.rollouts import RolloutBook
 from monsoonwall.gateway.runs import RunBook
 from monsoonwall.gateway.sending import Sender
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.gateway.usage import UsageBook
+from monsoonwall.gateway.wishes import ServerWishes
 
 # Hosts that are assumed before any of the others was met: as many as the
 # larger of today's sites has.
@@ -44,7 +44,6 @@
         self._mesh = mesh
         self._hosts = _UNKNOWN_HOSTS if settings.seeds else 1
         self._met = False
-        self.pool = ChannelPool(clock)
         self.usage = UsageBook(
             mesh.board, BootClock(), settings.host_name, settings.bounds
         )
@@ -62,8 +61,12 @@
             settings.zone,
             clock,
             random,
+            self.count_hosts,
         )
         runs = RunBook()
+        self.wishes = ServerWishes(mesh.board, knowledge, self.loads, clock)
+        sender = Sender(outside.dialect, clock, self.wishes)
+        self.pool = sender.pool
         self.evacuator = Evacuator(
             knowledge,
             runs,
@@ -76,7 +79,7 @@
             self.entrance,
             placer,
             Repeater(settings.bounds, clock, self.count_hosts),
-            Sender(self.pool, outside.dialect, clock),
+            sender,
             self.loads,
             self.rollouts,
             self.usage,
@@ -89,7 +92,7 @@
             outside.dialect,
             Conductor(parts),
             clock,
-            lambda: knowledge.limits,
+            lambda: knowledge.catalogue and knowledge.catalogue.limits,
         )
 
     def count_hosts(self) -> int:
@@ -116,4 +119,6 @@
         self.usage.exchange()
         servers = self._knowledge.list_all_servers()
         self.loads.forget_all_but(server.name for server in servers)
-        self.pool.close_all_but(servers)
+        self.pool.close_all_but(
+            server for server in servers if not server.leaving
+        )
--- /dev/null
+++ b/src/monsoonwall/gateway/wishes.py
@@ -0,0 +1,45 @@
+"""Follow what servers ask of this host in their answers."""
+
+from monsoonwall.clocks import Clock
+from monsoonwall.gateway.departures import Departures
+from monsoonwall.gateway.dialect import AnswerFacts
+from monsoonwall.gateway.knowledge import Knowledge
+from monsoonwall.gateway.loads import LoadBook
+from monsoonwall.gateway.model import BackendServer
+from monsoonwall.gateway.sending import AnswerObserver
+from monsoonwall.logs import make_logger
+from monsoonwall.mesh.board import Board
+
+_log = make_logger('servers')
+
+
+class ServerWishes(AnswerObserver):
+    """Leave servers alone that ask for it."""
+
+    def __init__(
+        self,
+        board: Board,
+        knowledge: Knowledge,
+        loads: LoadBook,
+        clock: Clock,
+    ) -> None:
+        self._departures = Departures(board, knowledge, clock)
+        self._loads = loads
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Hear of departures from the other hosts, until cancelled."""
+        await self._departures.run()
+
+    def note_answer(self, server: BackendServer, facts: AnswerFacts) -> None:
+        """Take in the head of an answer as soon as it has arrived."""
+        if facts.leaving:
+            self._departures.note(server)
+        if facts.rest_seconds is not None:
+            until = self._clock.read_monotonic() + facts.rest_seconds
+            self._loads.find_health(server).note_asked_rest(until)
+            _log.info(
+                'Server asks to be left alone.',
+                server=server.name,
+                seconds=facts.rest_seconds,
+            )
--- a/src/monsoonwall/platform/dialect.py
+++ b/src/monsoonwall/platform/dialect.py
@@ -1,6 +1,7 @@
 """Translate requests, attempts and answers from and to the platform's HTTP."""
 
 from http import HTTPStatus
+from math import isfinite
 from types import MappingProxyType
 from typing import Final
 
@@ -46,6 +47,8 @@
 _SEAL: Final = 'X-Monsoonwall-Response-Seal'
 _NOT_EXECUTED: Final = 'X-Monsoonwall-Not-Executed'
 _RETRY_AFTER: Final = 'Retry-After'
+_LEAVING: Final = 'Server-Leaving'
+_IS_LEAVING: Final = '1'
 
 _HOP_HEADERS: Final = frozenset(
     (
@@ -178,6 +181,8 @@
             ),
             closes=headers.get('Connection', '').lower() == 'close',
             keep_seconds=_read_keep_alive(headers),
+            rest_seconds=_read_rest(head),
+            leaving=headers.get(_LEAVING, '').strip() == _IS_LEAVING,
         )
 
     def write_answer_headers(self, head: Head) -> HTTPHeaders:
@@ -266,5 +271,15 @@
     return None
 
 
+def _read_rest(head: Head) -> float | None:
+    if head.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return None
+    try:
+        seconds = float(head.headers.get(_RETRY_AFTER, ''))
+    except ValueError:
+        return None
+    return seconds if isfinite(seconds) and seconds > 0 else None
+
+
 def _refuse_bad(detail: str) -> Result[CallerRequest, Refusal]:
     return Failure(Refusal(RefusalReason.bad_request, Effect.not_run, detail))
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -1,6 +1,7 @@
 """Place requests where their answers begin first."""
 
 import unittest
+from collections import Counter
 from heapq import heappop, heappush
 from random import Random
 
@@ -11,6 +12,7 @@
     Candidate,
     choose_server,
     estimate_start,
+    sample_servers,
 )
 
 candidates = st.builds(
@@ -107,3 +109,68 @@
 
     def test_counting_tokens_beats_counting_requests(self):
         self.assertLess(self.play(by_tokens=True), self.play(by_tokens=False))
+
+
+class StaleLoadReplayTest(unittest.TestCase):
+    """Replay a fleet whose hosts hear of each other's work a second late.
+
+    Two hundred hosts send 80 prompts a second to 20 servers, at seven tenths
+    of what these can read, and add their own last sendings to what they hear.
+    """
+
+    hosts, servers, seconds = 200, 20, 20
+    rate, tokens, prompts_per_second = 48_000.0, 8400, 80
+
+    def play(self, fleet_size):
+        """Return the mean wait for a first answer, in seconds."""
+        random = Random(5)
+        names = [f's{number}' for number in range(self.servers)]
+        waiting = dict.fromkeys(names, float(0))
+        heard = dict(waiting)
+        own = {}
+        waits = []
+        for step in range(self.seconds * self.prompts_per_second):
+            if step % self.prompts_per_second == 0:
+                heard = dict(waiting)
+                own = {}
+            sent = own.setdefault(random.randrange(self.hosts), Counter())
+            looked_at = sample_servers(names, fleet_size, random)
+            chosen = choose_server(
+                [
+                    Candidate(
+                        name,
+                        True,
+                        64,
+                        0,
+                        heard[name] + sent[name],
+                        self.tokens,
+                        self.rate,
+                    )
+                    for name in looked_at
+                ]
+            ).server
+            sent[chosen] += self.tokens
+            waiting[chosen] += self.tokens
+            waits.append(waiting[chosen] / self.rate)
+            for name in names:
+                read = self.rate / self.prompts_per_second
+                waiting[name] = max(0, waiting[name] - read)
+        return sum(waits) / len(waits)
+
+    def test_few_candidates_spread_the_work(self):
+        among_all = self.play(fleet_size=1)
+        among_few = self.play(fleet_size=self.hosts)
+        self.assertLess(among_few, among_all / 2)
+
+    def test_small_fleets_look_at_all(self):
+        names = [f's{number}' for number in range(12)]
+        sampled = sample_servers(names, 9, Random(1))
+        self.assertEqual(set(sampled), set(names))
+
+    @given(st.integers(1, 100), st.integers(1, 2000), st.randoms())
+    def test_sample_is_of_the_servers(self, count, hosts, random):
+        names = [f's{number}' for number in range(count)]
+        sampled = sample_servers(names, hosts, random)
+        self.assertTrue(set(sampled) <= set(names))
+        self.assertEqual(len(set(sampled)), len(sampled))
+        self.assertGreaterEqual(len(sampled), min(2, count))
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -21,6 +21,7 @@
         self.name = name
         self.entries = {} if shared is None else shared
         self.facts = {}
+        self.queues = {}
 
     def publish_entry(self, kind, key, payload):
         self.entries[kind, self.name, key] = Entry(
@@ -39,7 +40,7 @@
         return tuple(fact for fact in self.facts.values() if fact.kind == kind)
 
     def subscribe(self, kind) -> 'Queue[Entry | Fact]':
-        return Queue()
+        return self.queues.setdefault(kind, Queue())
 
 
 class MemoryStore(ObjectStore):
--- a/tests/gateway/test_conduct.py
+++ b/tests/gateway/test_conduct.py
@@ -19,7 +19,6 @@
 from monsoonwall.gateway.model import CallerRequest
 from monsoonwall.gateway.parts import Parts
 from monsoonwall.gateway.placing import Placer
-from monsoonwall.gateway.pool import ChannelPool
 from monsoonwall.gateway.records import Record, RecordKind
 from monsoonwall.gateway.repeating import Repeater
 from monsoonwall.gateway.rollouts import RolloutBook
@@ -27,6 +26,7 @@
 from monsoonwall.gateway.sending import Sender
 from monsoonwall.gateway.settings import Bounds, GatewaySettings
 from monsoonwall.gateway.usage import UsageBook
+from monsoonwall.gateway.wishes import ServerWishes
 from monsoonwall.platform.dialect import PlatformDialect
 from monsoonwall.platform.documents import PlatformCodec
 from tests.gateway.fakes import FakeBoard, RecordingCaller
@@ -126,6 +126,7 @@
             'zone-a',
             clock,
             Random(1),
+            lambda: 1,
         )
         self.evacuator = Evacuator(
             self.knowledge, runs, placer, self.engines, 0, clock
@@ -144,7 +145,11 @@
                 ),
                 placer,
                 Repeater(Bounds(), clock, lambda: 1),
-                Sender(ChannelPool(clock), self.dialect, clock),
+                Sender(
+                    self.dialect,
+                    clock,
+                    ServerWishes(board, self.knowledge, self.loads, clock),
+                ),
                 self.loads,
                 self.rollouts,
                 UsageBook(board, clock, 'edge-1', Bounds()),
--- /dev/null
+++ b/tests/gateway/test_wishes.py
@@ -0,0 +1,146 @@
+"""Leave servers alone that say that they leave or are full."""
+
+import asyncio
+
+from monsoonwall.clocks import ManualClock
+from monsoonwall.gateway.departures import DEPARTURE_KIND, Departures
+from monsoonwall.gateway.knowledge import Knowledge
+from monsoonwall.gateway.records import Record, RecordKind
+from monsoonwall.mesh.board import Fact
+from monsoonwall.platform.documents import PlatformCodec
+from tests.gateway.fakes import FakeBoard
+from tests.gateway.test_conduct import (
+    STREAM_END,
+    STREAM_HEAD,
+    ConductorCase,
+    chunk,
+    make_event,
+)
+from tests.standins.raw_server import make_answer
+
+LEAVING = make_answer(extra='Server-Leaving: 1\r\n')
+
+
+def make_full(seconds):
+    """Return the refusal of a server that is full for some seconds."""
+    return make_answer(
+        status=503,
+        sealed=False,
+        extra=f'X-Monsoonwall-Not-Executed: 1\r\nRetry-After: {seconds}\r\n',
+    )
+
+
+class LeavingTest(ConductorCase):
+    """Meet servers that say so before the store does."""
+
+    async def test_gets_nothing_more(self):
+        self.configure()
+        near, far = self.servers
+        near.answers = [[LEAVING], [make_answer()]]
+        far.answers = [[make_answer()] for _ in range(5)]
+        for _ in range(6):
+            caller = await self.ask('/look/x')
+            self.assertEqual(caller.status, 200)
+        self.assertEqual(len(near.requests), 1)
+        # An entry that says otherwise comes late.
+        self.tell_server(0, 2)
+        self.assertTrue(self.knowledge.find_server('i-0').leaving)
+
+    async def test_stream_tells_with_its_head(self):
+        """A stream of seconds ended before its server was left alone."""
+        self.configure()
+        near, far = self.servers
+        head = STREAM_HEAD.replace(
+            b'Content-Type', b'Server-Leaving: 1\r\nContent-Type'
+        )
+        near.answers = [
+            [head, chunk(make_event(1)), 0.3, chunk(make_event(2)), STREAM_END]
+        ]
+        far.answers = [[make_answer()]]
+        streaming = asyncio.create_task(self.ask('/talk/x'))
+        await asyncio.sleep(0.15)
+        await self.ask('/look/x')
+        self.assertEqual((await streaming).status, 200)
+        self.assertEqual(len(far.requests), 1)
+
+
+class RestTest(ConductorCase):
+    """Meet servers that are full for a stated time."""
+
+    async def test_gets_nothing_until_then(self):
+        self.configure()
+        near, far = self.servers
+        near.answers = [[make_full(0.4)], [make_answer()]]
+        far.answers = [[make_answer()] for _ in range(9)]
+        for _ in range(4):
+            caller = await self.ask('/look/x')
+            self.assertEqual(caller.status, 200)
+        self.assertEqual(len(near.requests), 1)
+        self.assertEqual(
+            self.loads.find_health(self.knowledge.find_server('i-0')).failing, 0
+        )
+        await asyncio.sleep(0.45)
+        await self.ask('/look/x')
+        self.assertEqual(len(near.requests), 2)
+
+    async def test_all_resting_is_refused_at_once_with_the_time(self):
+        self.configure()
+        for server in self.servers:
+            server.answers = [[make_full(5)]]
+        first = await self.ask('/look/x')
+        second = await self.ask('/look/x')
+        for caller in (first, second):
+            self.assertEqual(caller.status, 503)
+            self.assertGreater(float(caller.headers['Retry-After']), 4)
+        arrivals = [len(one.requests) for one in self.servers]
+        self.assertEqual(arrivals, [1, 1])
+
+    async def test_nonsense_asks_for_nothing(self):
+        self.configure()
+        near, far = self.servers
+        for told in ('soon', 'nan', 'inf', '-1', '0'):
+            with self.subTest(told=told):
+                near.answers = [[make_full(told)]]
+                far.answers = [[make_answer()]]
+                await self.ask('/look/x')
+                health = self.loads.find_health(
+                    self.knowledge.find_server('i-0')
+                )
+                self.assertFalse(
+                    health.is_asked_off(self.clock.read_monotonic())
+                )
+                health.failing = 0
+
+
+class SharingTest(ConductorCase):
+    """Tell the other hosts of departures."""
+
+    async def test_other_hosts_hear_and_a_new_life_is_used(self):
+        clock = ManualClock(1000)
+        board = FakeBoard('edge-2')
+        knowledge = Knowledge(PlatformCodec(), clock, 2)
+        departures = Departures(board, knowledge, clock)
+        self.adopt(knowledge, 1, born=7)
+        departures.note(knowledge.find_server('i-9'))
+        fact = next(iter(board.facts.values()))
+        other = Knowledge(PlatformCodec(), clock, 2)
+        self.adopt(other, 1, born=7)
+        other_board = FakeBoard('edge-3')
+        listening = asyncio.create_task(
+            Departures(other_board, other, clock).run()
+        )
+        other_board.subscribe(DEPARTURE_KIND).put_nowait(
+            Fact(fact.kind, fact.key, fact.payload, fact.expires_wall)
+        )
+        await asyncio.sleep(0.01)
+        self.assertTrue(other.find_server('i-9').leaving)
+        self.adopt(other, 2, born=8)
+        self.assertFalse(other.find_server('i-9').leaving)
+        listening.cancel()
+
+    def adopt(self, knowledge, revision, born):
+        spec = (
+            b'{"service":"app","address":"10.0.0.1:80","zone":"a",'
+            b'"state":"ready","born":%d}' % born
+        )
+        knowledge.adopt(Record(RecordKind.server, 'i-9', revision, spec))
