Bound what is read of bytes that are no answer

Cause: a server may send without end, in a head or a body. Each channel read up to 16 MB of it, a tenth of a small host's memory, also of answers to other requests and of refusals; an idle channel filled its buffer and was kept until its time was over.

Answers of servers are read up to 2 MB, answers of no use up to 64 kB, and idle channels on which bytes arrive are closed within a second.

--- a/src/monsoonwall/gateway/pool.py
+++ b/src/monsoonwall/gateway/pool.py
@@ -19,6 +19,8 @@
 # A channel is given up this part of its time before the server may close it.
 _KEPT_PART: Final = 0.8
 _SWEEP_SECONDS: Final = 1.0
+# Answers of servers are kilobytes long; what is far longer is none.
+MAX_ANSWER_BYTES: Final = 2_000_000
 
 
 @dataclass(frozen=True)
@@ -47,7 +49,9 @@
                 return kept.channel
             kept.channel.close()
         GATEWAY_CHANNELS.labels('opened').inc()
-        return await open_channel(server.address, timeout_seconds)
+        return await open_channel(
+            server.address, timeout_seconds, MAX_ANSWER_BYTES
+        )
 
     def give_back(
         self, server: BackendServer, channel: Channel, facts: AnswerFacts
@@ -73,13 +77,25 @@
                 kept.channel.close()
 
     async def run(self) -> None:
-        """Close channels that idled for long, until cancelled."""
+        """Close channels that idled for long or are not quiet.
+
+        Goes on until cancelled.
+        """
         while True:
             await asyncio.sleep(_SWEEP_SECONDS)
             now = self._clock.read_monotonic()
-            for idle in self._idle.values():
-                while idle and idle[0].close_at <= now:
-                    idle.popleft().channel.close()
+            for key, idle in self._idle.items():
+                self._idle[key] = _drop_useless(idle, now)
+
+
+def _drop_useless(idle: deque[_Idle], now: float) -> deque[_Idle]:
+    kept: deque[_Idle] = deque()
+    for one in idle:
+        if one.channel.sound and now < one.close_at:
+            kept.append(one)
+        else:
+            one.channel.close()
+    return kept
 
 
 def _make_key(server: BackendServer) -> str:
--- a/src/monsoonwall/gateway/sending.py
+++ b/src/monsoonwall/gateway/sending.py
@@ -17,6 +17,7 @@
 _CONNECT_SECONDS: Final = 0.5
 # Answers to other requests that are passed over on one channel.
 _MAX_STRAY_ANSWERS: Final = 2
+_MAX_STRAY_BYTES: Final = 65_536
 _FIRST_REDIRECT: Final = 300
 
 
@@ -162,7 +163,7 @@
         return named == self._attempt.request.attempt_id
 
     async def _pass_over(self, head: Head) -> bool:
-        stray = await self._channel.receive_rest(head)
+        stray = await self._channel.receive_rest(head, _MAX_STRAY_BYTES)
         if stray.ending is not Ending.complete:
             return False
         # The answer to this request may still follow.
--- a/src/monsoonwall/transport/channels.py
+++ b/src/monsoonwall/transport/channels.py
@@ -20,16 +20,14 @@
     is_framed,
 )
 from monsoonwall.transport.streams import (
-    MAX_BUFFER_BYTES,
     WatchedStream,
     open_stream,
 )
 
 _INFORMATIONAL: Final = 200
 _MAX_HEADER_BYTES: Final = 65_536
-_PARAMETERS: Final = HTTP1ConnectionParameters(
-    max_header_size=_MAX_HEADER_BYTES, max_body_size=MAX_BUFFER_BYTES
-)
+# The store lists objects by megabytes.
+MAX_CALL_BYTES: Final = 16_000_000
 
 Message = Head | Piece | Ending
 
@@ -81,8 +79,13 @@
 class Channel:
     """Own one connection; carry one exchange after the other."""
 
-    def __init__(self, address: str, stream: WatchedStream) -> None:
+    def __init__(
+        self, address: str, stream: WatchedStream, max_bytes: int
+    ) -> None:
         self.address = address
+        self._parameters = HTTP1ConnectionParameters(
+            max_header_size=_MAX_HEADER_BYTES, max_body_size=max_bytes
+        )
         self._stream = stream
         self._receiver = _Receiver(stream)
         self._reading: asyncio.Future[object] | None = None
@@ -97,7 +100,7 @@
 
     def send(self, request: OutgoingRequest) -> None:
         """Write a request and begin to read the response."""
-        connection = HTTP1Connection(self._stream, True, _PARAMETERS)
+        connection = HTTP1Connection(self._stream, True, self._parameters)
         headers = request.make_headers()
         headers.setdefault('Host', self.address)
         connection.write_headers(
@@ -110,7 +113,7 @@
 
     def read_another(self) -> None:
         """Read one more response, after one that belonged elsewhere."""
-        connection = HTTP1Connection(self._stream, True, _PARAMETERS)
+        connection = HTTP1Connection(self._stream, True, self._parameters)
         connection.finish()
         self._read(connection)
 
@@ -118,15 +121,23 @@
         """Return the next part of the response."""
         return await self._receiver.messages.get()
 
-    async def receive_rest(self, head: Head) -> Reply:
-        """Return the whole response that begins with a head."""
+    async def receive_rest(
+        self, head: Head, max_bytes: int = MAX_CALL_BYTES
+    ) -> Reply:
+        """Return the whole response that begins with a head.
+
+        One with a longer body is broken; its channel is to be closed.
+        """
         pieces: list[bytes] = []
-        while True:
+        left = max_bytes
+        while left >= 0:
             message = await self.receive()
             if isinstance(message, Ending):
                 return Reply(head, b''.join(pieces), message)
             if isinstance(message, Piece):
                 pieces.append(message.content)
+                left -= len(message.content)
+        return Reply(head, b'', Ending.broken)
 
     def watch_idle(self) -> None:
         """Notice when the peer closes the channel between exchanges."""
@@ -154,9 +165,15 @@
     receiver.end(Ending.broken)
 
 
-async def open_channel(address: str, timeout_seconds: float) -> Channel:
-    """Connect to an address; raises OSError if that fails in time."""
-    return Channel(address, await open_stream(address, timeout_seconds))
+async def open_channel(
+    address: str, timeout_seconds: float, max_bytes: int = MAX_CALL_BYTES
+) -> Channel:
+    """Connect to an address; raises OSError if that fails in time.
+
+    Responses with more bytes in their body are broken.
+    """
+    stream = await open_stream(address, timeout_seconds, max_bytes)
+    return Channel(address, stream, max_bytes)
 
 
 async def call(
--- a/src/monsoonwall/transport/streams.py
+++ b/src/monsoonwall/transport/streams.py
@@ -12,7 +12,6 @@
 _KEEPALIVE_INTERVAL_SECONDS: Final = 1
 _KEEPALIVE_PROBES: Final = 2
 _UNACKNOWLEDGED_MILLISECONDS: Final = 2500
-MAX_BUFFER_BYTES: Final = 16_000_000
 
 
 class WatchedStream(IOStream):
@@ -48,10 +47,12 @@
     return made
 
 
-async def open_stream(address: str, timeout_seconds: float) -> WatchedStream:
+async def open_stream(
+    address: str, timeout_seconds: float, max_bytes: int
+) -> WatchedStream:
     """Connect to ``host:port``; raises OSError when that fails in time."""
     host, _, port = address.rpartition(':')
-    stream = WatchedStream(make_socket(), max_buffer_size=MAX_BUFFER_BYTES)
+    stream = WatchedStream(make_socket(), max_buffer_size=max_bytes)
     try:
         await asyncio.wait_for(
             stream.connect((host, int(port))), timeout_seconds
--- a/tests/standins/raw_server.py
+++ b/tests/standins/raw_server.py
@@ -4,13 +4,22 @@
 import socket
 import struct
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Endless:
+    """Repeat some bytes, with a pause in seconds, until the caller closes."""
+
+    content: bytes
+    pause: float = 0
 
 
 class RawServer:
     """Hold what arrived and the answers to give, one a request.
 
     An answer is a list of steps: bytes to write, a number of seconds to
-    wait, or one of the words ``close`` and ``reset``.
+    wait, one of the words ``close`` and ``reset``, or endless bytes.
     """
 
     def __init__(self):
@@ -19,6 +28,7 @@
         self.answers = []
         self.address = ''
         self.tasks = []
+        self.endless_bytes = 0
 
     async def serve(self, reader, writer):
         """Read requests and give the answers until one closes."""
@@ -43,6 +53,13 @@
             task.cancel()
         await asyncio.gather(*self.tasks)
 
+    async def _write_endlessly(self, writer, endless):
+        while True:
+            writer.write(endless.content)
+            await writer.drain()
+            self.endless_bytes += len(endless.content)
+            await asyncio.sleep(endless.pause)
+
     async def _exchange(self, reader, writer):
         head = await reader.readuntil(b'\r\n\r\n')
         body = await reader.readexactly(_find_length(head))
@@ -53,7 +70,9 @@
             if step == 'reset':
                 _abort(writer)
                 return False
-            if isinstance(step, bytes):
+            if isinstance(step, Endless):
+                await self._write_endlessly(writer, step)
+            elif isinstance(step, bytes):
                 writer.write(step)
                 await writer.drain()
             else:
