List the store's records as they are now after a restart

Cause: a list that may be seconds old, read by a host that restarts, could bring a withdrawn key or a server that has left back into use until news arrives. Only at the first start of all hosts nothing has been withdrawn, and there the cheap list is still used.

--- a/src/monsoonwall/gateway/following.py
+++ b/src/monsoonwall/gateway/following.py
@@ -81,6 +81,7 @@
         random: Random,
         should_watch: Callable[[], bool],
         reach: StoreReach,
+        first_start: bool,
     ) -> None:
         self._kind = kind
         self._source = source
@@ -89,7 +90,7 @@
         self._random = random
         self._should_watch = should_watch
         self._reach = reach
-        self._listed = False
+        self._needs_current = not first_start
         self._backoff = Backoff(_FIRST_PAUSE_SECONDS, _MOST_PAUSE_SECONDS)
         self._known: int | None = None
         self._reached = True
@@ -113,14 +114,17 @@
             await self._pause(failure)
 
     async def _list(self) -> StoreFailure | None:
-        # A list whose history was gone at the watch has to be current.
-        listed = await self._source.list_records(self._kind, self._listed)
+        # At the first start of all hosts nothing has been withdrawn yet. Later
+        # an old list could bring back a server that left or a withdrawn key.
+        listed = await self._source.list_records(
+            self._kind, self._needs_current
+        )
         if not is_successful(listed):
             return listed.failure()
         listing = listed.unwrap()
         self._knowledge.adopt_listing(self._kind, listing)
         self._known = listing.revision
-        self._listed = True
+        self._needs_current = True
         return None
 
     async def _watch(self) -> StoreFailure | None:
@@ -168,9 +172,19 @@
     random: Random,
     should_watch: Callable[[], bool],
     reach: StoreReach,
+    first_start: bool,
 ) -> tuple[Follower, ...]:
     """Return a follower for each kind that a gateway needs."""
     return tuple(
-        Follower(kind, source, knowledge, clock, random, should_watch, reach)
+        Follower(
+            kind,
+            source,
+            knowledge,
+            clock,
+            random,
+            should_watch,
+            reach,
+            first_start,
+        )
         for kind in RecordKind
     )
--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -74,6 +74,7 @@
             self._random,
             self._should_watch,
             self._reach,
+            settings.first_start,
         )
         self._ready = ReadyServer(
             settings.ready_address, outside.ready_path, self._is_ready
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -47,7 +47,7 @@
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
     """Let one follower ask a scripted store."""
 
-    async def follow(self, answers):
+    async def follow(self, answers, first_start=True):
         clock = SystemClock()
         self.reach = StoreReach(FakeBoard('edge-1'))
         source = ScriptedSource(answers)
@@ -59,6 +59,7 @@
             Random(1),
             lambda: True,
             self.reach,
+            first_start,
         )
         running = asyncio.create_task(follower.run())
         await source.drained.wait()
@@ -74,6 +75,12 @@
             [('list', False), ('watch', 7), ('list', True), ('watch', 7)],
         )
 
+    async def test_restarted_host_lists_nothing_old(self):
+        """A key that had been withdrawn must not be in use again."""
+        listing = Success(Listing((), 7))
+        asked = await self.follow([listing, listing], first_start=False)
+        self.assertEqual(asked[0], ('list', True))
+
     async def test_host_that_is_turned_away_tells_so(self):
         turned_away = Failure(StoreFailure.unavailable)
         await self.follow([turned_away, turned_away])
