--- a/src/monsoonwall/gateway/following.py
+++ b/src/monsoonwall/gateway/following.py
@@ -1,7 +1,7 @@
 """Follow the records of the platform's store."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from random import Random
 from typing import Final
 
@@ -14,6 +14,7 @@
 from monsoonwall.gateway.records import RecordKind, RecordSource
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board
+from monsoonwall.mesh.peers import Peers
 from monsoonwall.metrics import GATEWAY_STORE_HEARD
 from monsoonwall.platform.objects import StoreFailure
 
@@ -43,16 +44,32 @@
     return own in ranked[:WATCHERS_PER_ZONE]
 
 
-class StoreReach:
-    """Tell the hosts of the zone whether this one reaches the store.
+class WatchDuty:
+    """Choose the hosts of a zone that watch the store.
 
-    The store may turn single hosts away, of which others watch in their place.
+    The store may turn single hosts away, which tell so; others watch then.
     """
 
-    def __init__(self, board: Board) -> None:
+    def __init__(
+        self, board: Board, peers: Peers, own_name: str, zone: str
+    ) -> None:
         self._board = board
+        self._peers = peers
+        self._own_name = own_name
+        self._zone = zone
         self._told = _REACHED
 
+    def is_own(self) -> bool:
+        """Tell whether this host is to watch."""
+        unreached = self.list_unreached()
+        near = [
+            peer.name
+            for peer in self._peers.list_peers()
+            if peer.zone == self._zone and not peer.leaving
+        ]
+        able = [name for name in near if name not in unreached]
+        return choose_watcher(self._own_name, (*able, self._own_name))
+
     def note(self, reached: bool) -> None:
         """Take in how a call ended."""
         payload = _REACHED if reached else _NOT_REACHED
@@ -79,8 +96,7 @@
         knowledge: Knowledge,
         clock: Clock,
         random: Random,
-        should_watch: Callable[[], bool],
-        reach: StoreReach,
+        duty: WatchDuty,
         first_start: bool,
     ) -> None:
         self._kind = kind
@@ -88,8 +104,7 @@
         self._knowledge = knowledge
         self._clock = clock
         self._random = random
-        self._should_watch = should_watch
-        self._reach = reach
+        self._duty = duty
         self._needs_current = not first_start
         self._backoff = Backoff(_FIRST_PAUSE_SECONDS, _MOST_PAUSE_SECONDS)
         self._known: int | None = None
@@ -98,7 +113,7 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if self._known is None or self._should_watch():
+            if self._known is None or self._duty.is_own():
                 await self._step()
             else:
                 await asyncio.sleep(_IDLE_SECONDS)
@@ -146,7 +161,7 @@
 
     def _note_reached(self) -> None:
         self._backoff.succeed()
-        self._reach.note(reached=True)
+        self._duty.note(reached=True)
         GATEWAY_STORE_HEARD.labels(self._kind).set(self._clock.read_wall())
         if not self._reached:
             self._reached = True
@@ -154,7 +169,7 @@
 
     async def _pause(self, failure: StoreFailure) -> None:
         self._knowledge.note_store_failure()
-        self._reach.note(reached=False)
+        self._duty.note(reached=False)
         if self._reached:
             self._reached = False
             _log.warning(
@@ -170,8 +185,7 @@
     knowledge: Knowledge,
     clock: Clock,
     random: Random,
-    should_watch: Callable[[], bool],
-    reach: StoreReach,
+    duty: WatchDuty,
     first_start: bool,
 ) -> tuple[Follower, ...]:
     """Return a follower for each kind that a gateway needs."""
@@ -182,8 +196,7 @@
             knowledge,
             clock,
             random,
-            should_watch,
-            reach,
+            duty,
             first_start,
         )
         for kind in RecordKind
--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -8,11 +8,7 @@
 
 from monsoonwall.clocks import Clock
 from monsoonwall.entry.meshing import Mesh
-from monsoonwall.gateway.following import (
-    StoreReach,
-    choose_watcher,
-    make_followers,
-)
+from monsoonwall.gateway.following import WatchDuty, make_followers
 from monsoonwall.gateway.holding import make_duties
 from monsoonwall.gateway.knowledge import Knowledge
 from monsoonwall.gateway.outside import Outside
@@ -66,14 +62,17 @@
             clock,
             self._random,
         )
-        self._reach = StoreReach(self._mesh.board)
         self._followers = make_followers(
             outside.records,
             self._knowledge,
             clock,
             self._random,
-            self._should_watch,
-            self._reach,
+            WatchDuty(
+                self._mesh.board,
+                self._mesh.peers,
+                settings.host_name,
+                settings.zone,
+            ),
             settings.first_start,
         )
         self._ready = ReadyServer(
@@ -121,18 +120,6 @@
         yield _repeat(self._serving.exchange_counts, _SLOW_SECONDS)
         yield _repeat(self._serving.rollouts.advance, _ROLLOUT_SECONDS)
 
-    def _should_watch(self) -> bool:
-        settings = self._settings
-        unreached = self._reach.list_unreached()
-        near = [
-            peer.name
-            for peer in self._mesh.peers.list_peers()
-            if peer.zone == settings.zone
-            and not peer.leaving
-            and peer.name not in unreached
-        ]
-        return choose_watcher(settings.host_name, (*near, settings.host_name))
-
     def _is_ready(self) -> bool:
         return (
             self._knowledge.catalogue is not None and not self._leaving.is_set()
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -9,11 +9,12 @@
 from monsoonwall.clocks import SystemClock
 from monsoonwall.gateway.following import (
     Follower,
-    StoreReach,
+    WatchDuty,
     choose_watcher,
 )
 from monsoonwall.gateway.knowledge import Knowledge
 from monsoonwall.gateway.records import Listing, RecordKind, RecordSource
+from monsoonwall.mesh.peers import Peers
 from monsoonwall.platform.documents import PlatformCodec
 from monsoonwall.platform.objects import StoreFailure
 from tests.gateway.fakes import FakeBoard
@@ -21,6 +22,16 @@
 HOSTS = ('edge-1', 'edge-2', 'edge-3')
 
 
+class NoPeers(Peers):
+    """Know no other host."""
+
+    def list_peers(self):
+        return ()
+
+    def find_channel(self, name):
+        return None
+
+
 class ScriptedSource(RecordSource):
     """Give answers in turn and note what was asked."""
 
@@ -49,7 +60,7 @@
 
     async def follow(self, answers, first_start=True):
         clock = SystemClock()
-        self.reach = StoreReach(FakeBoard('edge-1'))
+        self.duty = WatchDuty(FakeBoard('edge-1'), NoPeers(), 'edge-1', 'a')
         source = ScriptedSource(answers)
         follower = Follower(
             RecordKind.server,
@@ -57,8 +68,7 @@
             Knowledge(PlatformCodec(), clock, 2),
             clock,
             Random(1),
-            lambda: True,
-            self.reach,
+            self.duty,
             first_start,
         )
         running = asyncio.create_task(follower.run())
@@ -84,7 +94,7 @@
     async def test_host_that_is_turned_away_tells_so(self):
         turned_away = Failure(StoreFailure.unavailable)
         await self.follow([turned_away, turned_away])
-        self.assertEqual(self.reach.list_unreached(), {'edge-1'})
+        self.assertEqual(self.duty.list_unreached(), {'edge-1'})
 
     def test_another_host_watches_in_its_place(self):
         watcher = next(one for one in HOSTS if choose_watcher(one, HOSTS))
