--- a/src/monsoonwall/decisions/gossip.py
+++ b/src/monsoonwall/decisions/gossip.py
@@ -23,7 +23,7 @@
 WIDE_ROUND_SECONDS: Final = 0.5
 RELAYS_PER_ZONE: Final = 2
 _FULL_PARTNERS: Final = 2
-_PUSH_FANOUT: Final = 4
+_PUSH_FANOUT: Final = 2
 # What a host may receive and send of entries and of zone summaries in a wide
 # fleet, beside digests and facts. Hosts of a zone of 40 publish 250 bytes a
 # second each, about what they have to tell.
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -29,7 +29,7 @@
         return ()
 
     def find_channel(self, name):
-        return None
+        """Return nothing; no host is known."""
 
 
 class ScriptedSource(RecordSource):
