--- a/src/monsoonwall/decisions/fleet.py
+++ b/src/monsoonwall/decisions/fleet.py
@@ -3,7 +3,7 @@
 Answers reclaims of whole zones at a changing demand. Reclaimable servers cost
 a fraction, so they carry the usual load and a zone of them may be lost. Ones
 that stay are ordered when so few of the others are left that the loss of one
-more zone would leave too little, and given up when those are back. Zones that
+more zone, of two once a zone has none to give, would leave too little, and given up when those are back. Zones that
 have no reclaimable servers to give are made up for by the others.
 """
 
@@ -17,6 +17,8 @@
 # servers still keep up. Prompts differ a hundredfold, so the first is low.
 _USUAL_BUSY: Final = 0.25
 _MOST_BUSY: Final = 0.85
+# Zones that may be lost together, once one has been reclaimed.
+_LOST_WHILE_DRY: Final = 2
 # The highest demand of this long counts, which covers a wave of the traffic.
 _PEAK_SECONDS: Final = 20.0
 # Demand is taken as known this long after the first of it.
@@ -92,9 +94,7 @@
     each = min(bounds.most, each)
     if not bounds.spot:
         return dict.fromkeys(bounds.prices, ZoneFleet(each, 0))
-    standing = [running[zone].spot for zone in bounds.prices]
-    left = sum(standing) - max(standing)
-    missing = math.ceil(busy / _MOST_BUSY) - left
+    missing = math.ceil(busy / _MOST_BUSY) - _count_left(running, bool(dry))
     lasting = _spread(bounds, running, missing)
     return {
         zone: ZoneFleet(count, min(each, bounds.most - count))
@@ -102,6 +102,16 @@
     }
 
 
+def _count_left(running: Mapping[str, ZoneFleet], dry: bool) -> int:
+    """Return the reclaimable servers that the next reclaims leave.
+
+    Reclaims of zones follow each other faster than servers start, and what
+    was reclaimed cannot be replaced while zones are dry.
+    """
+    lost = _LOST_WHILE_DRY if dry else 1
+    return sum(sorted(fleet.spot for fleet in running.values())[:-lost])
+
+
 def raise_fleet(
     bounds: FleetBounds, running: ZoneFleet, least: ZoneFleet
 ) -> ZoneFleet:
--- a/src/monsoonwall/gateway/ordering.py
+++ b/src/monsoonwall/gateway/ordering.py
@@ -136,8 +136,9 @@
             {zone: scaling.zone_prices.get(zone, 1) for zone in self._zones},
         )
         peak = self._peaks.setdefault(service.name, DemandPeak())
-        dry = self._list_dry(service.name)
-        if peak.is_known(self._clock.read_monotonic()):
+        now = self._clock.read_monotonic()
+        dry = self._list_dry(service.name, now)
+        if peak.is_known(now):
             return plan_zones(bounds, running, peak.read(), dry)
         if self._first_start:
             expected = expect_busy(self._found.get(service.name, 0))
@@ -151,12 +152,13 @@
             for zone in bounds.prices
         }
 
-    def _list_dry(self, service: str) -> frozenset[str]:
+    def _list_dry(self, service: str, now: float) -> frozenset[str]:
         """Return the zones that have no reclaimable servers to give."""
         return frozenset(
-            zone
-            for named, zone, spot in self._refusals
-            if (named, spot) == (service, True)
+            place[1]
+            for place in self._refusals
+            if (place[0], place[2]) == (service, True)
+            and now < self._again_at[place] + _MOST_REFUSED_SECONDS
         )
 
     def _keep(
--- a/tests/decisions/test_fleet.py
+++ b/tests/decisions/test_fleet.py
@@ -69,6 +69,14 @@
         # Where no others are, and where they are cheap.
         self.assertGreaterEqual(plan['a'].lasting, plan['c'].lasting)
 
+    def test_two_more_zones_may_be_lost_while_one_is_dry(self):
+        """All zones were reclaimed within six seconds."""
+        running = {**run_all(3), 'c': ZoneFleet(0, 0)}
+        calm = plan_zones(BOUNDS, running, 1.5)
+        self.assertEqual(sum(one.lasting for one in calm.values()), 0)
+        dry = plan_zones(BOUNDS, running, 1.5, {'c'})
+        self.assertEqual(sum(one.lasting for one in dry.values()), 2)
+
     def test_lasting_ones_come_before_what_cannot_be_had(self):
         """All of a zone's room was kept for reclaimed servers."""
         bounds = FleetBounds(1, 6, True, PRICES)
