--- a/src/monsoonwall/decisions/fleet.py
+++ b/src/monsoonwall/decisions/fleet.py
@@ -3,8 +3,9 @@
 Answers reclaims of whole zones at a changing demand. Reclaimable servers cost
 a fraction, so they carry the usual load and a zone of them may be lost. Ones
 that stay are ordered when so few of the others are left that the loss of one
-more zone, of two once a zone has none to give, would leave too little, and given up when those are back. Zones that
-have no reclaimable servers to give are made up for by the others.
+more zone, of two once a zone has none to give, would leave too little, and
+given up when those are back. Zones that have no reclaimable servers to give
+are made up for by the others.
 """
 
 import math
