Keep the summary that a relay writes after its restart

Cause: a relay that restarts hears of its own earlier summary before it opens the new one. The earlier one falls silent, is judged gone some seconds later, and the log of that name was dropped: the one being written. From then on the other zones heard nothing of this one: its loads, grants and usage.

Ruled out: pacing of the zone's sums, the merge by window.

--- a/src/monsoonwall/gateway/limiting.py
+++ b/src/monsoonwall/gateway/limiting.py
@@ -17,7 +17,7 @@
 from monsoonwall.gateway.model import Workspace
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.logs import make_logger
-from monsoonwall.mesh.board import Board
+from monsoonwall.mesh.board import Board, is_zone_summary
 from monsoonwall.metrics import GATEWAY_HOSTS_HEARD
 
 GRANTS_KIND: Final = 'gateway-grants'
@@ -28,7 +28,6 @@
 _LAG_SECONDS: Final = 1.0
 # Between zones of a wide fleet they pass three relays, a second each.
 _WIDE_LAG_SECONDS: Final = 3.0
-_SUMMARY_PREFIX: Final = 'zone/'
 # Most hosts' grants are the same as half a second ago.
 _CACHED_PAYLOADS: Final = 256
 
@@ -110,14 +109,15 @@
         self._listen(now)
 
     def _listen(self, now: float) -> None:
+        entries = self._board.read_entries(GRANTS_KIND)
         heard = {
             entry.origin: decode_grants(entry.payload)
-            for entry in self._board.read_entries(GRANTS_KIND)
+            for entry in entries
             if entry.origin != self._own_name
         }
         self._heard_hosts = sum(grants.hosts for grants in heard.values())
         GATEWAY_HOSTS_HEARD.set(self._heard_hosts)
-        wide = any(origin.startswith(_SUMMARY_PREFIX) for origin in heard)
+        wide = any(map(is_zone_summary, entries))
         self._lag_seconds = _WIDE_LAG_SECONDS if wide else _LAG_SECONDS
         told = {
             origin: {
--- a/src/monsoonwall/gateway/usage.py
+++ b/src/monsoonwall/gateway/usage.py
@@ -16,7 +16,7 @@
 )
 from monsoonwall.gateway.settings import Bounds
 from monsoonwall.logs import make_logger
-from monsoonwall.mesh.board import Board
+from monsoonwall.mesh.board import Board, is_zone_summary
 from monsoonwall.platform.objects import (
     CallReason,
     ObjectStore,
@@ -31,9 +31,11 @@
 _KEPT_WINDOWS: Final = 12
 # A host that has just started hears the counts of the others by then.
 _HEARING_SECONDS: Final = 2.5
-# Part of the time for a report in which the counts of a window reach the
-# holder, over the relays of wide fleets too; the rest is for its calls.
-_SETTLE_PART: Final = 0.45
+# Counts of the last moments of a window reach the holder by then.
+_SETTLE_SECONDS: Final = 1.5
+# Over the relays of a wide fleet they take longer: this part of the time for a
+# report. The rest is for the holder's calls.
+_WIDE_SETTLE_PART: Final = 0.45
 
 _log = make_logger('usage')
 
@@ -57,7 +59,10 @@
         self._own_name = own_name
         self._seconds = bounds.usage_window_seconds
         self._settled_at = clock.read_monotonic() + _HEARING_SECONDS
-        self._settle_seconds = _SETTLE_PART * bounds.usage_late_seconds
+        self._wide_settle_seconds = (
+            _WIDE_SETTLE_PART * bounds.usage_late_seconds
+        )
+        self._wide = False
         self._time = SteadyTime(clock)
         self._told = _Told(self._time.read(), {})
         self._published: dict[str, bytes] = {}
@@ -88,7 +93,9 @@
         }
         for number, counts in self._told.windows.items():
             self._publish(number, counts)
-        for entry in self._board.read_entries(USAGE_KIND):
+        entries = self._board.read_entries(USAGE_KIND)
+        self._wide = any(map(is_zone_summary, entries))
+        for entry in entries:
             self._hear((entry.origin, entry.key), entry.payload)
         self._forget(current - _KEPT_WINDOWS)
 
@@ -102,7 +109,8 @@
 
     def find_due(self) -> int:
         """Return the last window whose counts have settled."""
-        settled = self._time.read() - self._settle_seconds
+        seconds = self._wide_settle_seconds if self._wide else _SETTLE_SECONDS
+        settled = self._time.read() - seconds
         return int(settled // self._seconds) - 1
 
     def _publish(self, number: int, counts: Counts) -> None:
--- a/src/monsoonwall/mesh/board.py
+++ b/src/monsoonwall/mesh/board.py
@@ -11,7 +11,10 @@
 from asyncio import Queue
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from typing import Final
 
+# Begins the origin of the entries that sum up a zone.
+SUMMARY_PREFIX: Final = 'zone/'
 # Makes one payload of what several hosts say under one key.
 Merge = Callable[[Sequence[bytes]], bytes]
 
@@ -26,6 +29,11 @@
     payload: bytes
 
 
+def is_zone_summary(entry: Entry) -> bool:
+    """Tell whether an entry sums up what the hosts of a zone say."""
+    return entry.origin.startswith(SUMMARY_PREFIX)
+
+
 @dataclass(frozen=True)
 class Fact:
     """Hold what every host is to know until a time in Unix seconds.
--- a/src/monsoonwall/mesh/roster.py
+++ b/src/monsoonwall/mesh/roster.py
@@ -4,12 +4,10 @@
 from dataclasses import replace
 
 from monsoonwall.decisions.gossip import rank
-from monsoonwall.mesh.board import Entry
+from monsoonwall.mesh.board import SUMMARY_PREFIX, Entry
 from monsoonwall.mesh.peers import Peer
 from monsoonwall.mesh.store import HostLog, RecordStore
 
-SUMMARY_PREFIX = 'zone/'
-
 
 class Roster:
     """List peers, count hosts and read entries over hosts and summaries."""
--- a/src/monsoonwall/mesh/store.py
+++ b/src/monsoonwall/mesh/store.py
@@ -86,7 +86,12 @@
         self.open_log(self.own_log)
 
     def open_log(self, log: OriginLog) -> None:
-        """Begin a log that this host writes."""
+        """Begin a log that this host writes.
+
+        What is known of it from before a restart is dropped and not judged
+        any more, which would end the log that is written now.
+        """
+        self.forget(log.name)
         self._own_logs[log.name] = log
         self.logs.add(log)
 
--- a/src/monsoonwall/mesh/summaries.py
+++ b/src/monsoonwall/mesh/summaries.py
@@ -5,10 +5,9 @@
 from msgspec import msgpack
 
 from monsoonwall.decisions.gossip import Duty
-from monsoonwall.mesh.board import Merge
+from monsoonwall.mesh.board import SUMMARY_PREFIX, Merge
 from monsoonwall.mesh.logs import OriginLog
 from monsoonwall.mesh.outbox import Outbox
-from monsoonwall.mesh.roster import SUMMARY_PREFIX
 from monsoonwall.mesh.store import (
     HOST_KIND,
     SUMMARY_ZONE,
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -149,6 +149,15 @@
         ]
         self.assertEqual(changed, [(USAGE_KIND, 'a', str((WINDOW + 1) % 4))])
 
+    def test_windows_settle_sooner_where_hosts_hear_each_other(self):
+        """All hosts were killed four seconds after a window that was due."""
+        self.clock.advance(7)
+        self.assertEqual(self.books['a'].find_due(), WINDOW)
+        zone = Entry('zone/far', USAGE_KIND, '0', merge_usage([]))
+        self.shared[USAGE_KIND, 'zone/far', '0'] = zone
+        self.exchange()
+        self.assertEqual(self.books['a'].find_due(), WINDOW - 1)
+
     def test_windows_hold_though_the_clock_is_set(self):
         """Windows of one day were off by a third after clocks had stepped."""
         clock = SteppingClock(START)
