--- a/src/monsoonwall/gateway/usage.py
+++ b/src/monsoonwall/gateway/usage.py
@@ -107,6 +107,10 @@
                 total[workspace] = total.get(workspace, 0) + count
         return total
 
+    def count_origins(self, number: int) -> int:
+        """Return how many hosts and zones told counts of a window."""
+        return sum(number in windows for windows in self._heard.values())
+
     def find_due(self) -> int:
         """Return the last window whose counts have settled."""
         seconds = self._wide_settle_seconds if self._wide else _SETTLE_SECONDS
@@ -246,6 +250,12 @@
             return False
         self._version = written.unwrap().version
         self._frozen = kept
+        _log.info(
+            'Usage frozen.',
+            window=due,
+            requests=sum(kept[due].values()),
+            origins=self._book.count_origins(due),
+        )
         return True
 
 
