--- a/src/monsoonwall/gateway/ordering.py
+++ b/src/monsoonwall/gateway/ordering.py
@@ -27,9 +27,11 @@
 from monsoonwall.logs import make_logger
 
 # A refused order is tried again after a pause that doubles from the first of
-# these to the last; a zone has no servers to give for tens of seconds.
+# these to the last. Meanwhile callers are served by too few servers.
 _FIRST_REFUSED_SECONDS: Final = 1.5
-_MOST_REFUSED_SECONDS: Final = 12.0
+_MOST_REFUSED_SECONDS: Final = 4.0
+# A zone counts as dry until an order has not been refused for so long.
+_DRY_SECONDS: Final = 12.0
 # What was ordered has to show this long after the time that booting takes.
 _SHOW_SECONDS: Final = 3.0
 # Reclaims of other zones follow within seconds, so that lasting servers are
@@ -158,18 +160,21 @@
             place[1]
             for place in self._refusals
             if (place[0], place[2]) == (service, True)
-            and now < self._again_at[place] + _MOST_REFUSED_SECONDS
+            and now < self._again_at[place] + _DRY_SECONDS
         )
 
     def _keep(
         self, service: str, zone: str, wanted: ZoneFleet, has: ZoneFleet
     ) -> int:
-        """Return how many lasting servers to order; keep them for a while."""
+        """Return how many lasting servers to order.
+
+        They are kept for a while, and until reclaimable ones can be had.
+        """
         now = self._clock.read_monotonic()
         place = (service, zone)
         if wanted.lasting >= has.lasting:
             self._kept[place] = now + _KEEP_SECONDS
-        elif now < self._kept.get(place, now):
+        elif now < self._kept.get(place, now) or self._list_dry(service, now):
             return has.lasting
         return wanted.lasting
 
