--- a/src/monsoonwall/decisions/fleet.py
+++ b/src/monsoonwall/decisions/fleet.py
@@ -19,7 +19,7 @@
 _USUAL_BUSY: Final = 0.25
 _MOST_BUSY: Final = 0.85
 # Zones that may be lost together, once one has been reclaimed.
-_LOST_WHILE_DRY: Final = 2
+_LOST_WHILE_EXHAUSTED: Final = 2
 # The highest demand of this long counts, which covers a wave of the traffic.
 _PEAK_SECONDS: Final = 20.0
 # Demand is taken as known this long after the first of it.
@@ -82,20 +82,22 @@
     bounds: FleetBounds,
     running: Mapping[str, ZoneFleet],
     busy: float,
-    dry: Collection[str] = (),
+    exhausted: Collection[str] = (),
 ) -> Mapping[str, ZoneFleet]:
     """Return what each zone is to have at a demand.
 
-    Zones that are ``dry`` have refused to start more reclaimable servers.
+    Zones that are ``exhausted`` have refused to start more reclaimable servers.
     """
     usual = math.ceil(busy / _USUAL_BUSY)
     # One zone may be lost.
-    zones = max(1, len(bounds.prices) - len(dry) - 1)
+    zones = max(1, len(bounds.prices) - len(exhausted) - 1)
     each = max(bounds.least, 1, math.ceil(usual / zones))
     each = min(bounds.most, each)
     if not bounds.spot:
         return dict.fromkeys(bounds.prices, ZoneFleet(each, 0))
-    missing = math.ceil(busy / _MOST_BUSY) - _count_left(running, bool(dry))
+    missing = math.ceil(busy / _MOST_BUSY) - _count_left(
+        running, bool(exhausted)
+    )
     lasting = _spread(bounds, running, missing)
     return {
         zone: ZoneFleet(count, min(each, bounds.most - count))
@@ -103,13 +105,13 @@
     }
 
 
-def _count_left(running: Mapping[str, ZoneFleet], dry: bool) -> int:
+def _count_left(running: Mapping[str, ZoneFleet], exhausted: bool) -> int:
     """Return the reclaimable servers that the next reclaims leave.
 
     Reclaims of zones follow each other faster than servers start, and what
-    was reclaimed cannot be replaced while zones are dry.
+    was reclaimed cannot be replaced while zones are exhausted.
     """
-    lost = _LOST_WHILE_DRY if dry else 1
+    lost = _LOST_WHILE_EXHAUSTED if exhausted else 1
     return sum(sorted(fleet.spot for fleet in running.values())[:-lost])
 
 
--- a/src/monsoonwall/decisions/health.py
+++ b/src/monsoonwall/decisions/health.py
@@ -20,15 +20,15 @@
     failing: float = 0
     rests: int = 0
     rest_until: float = float('-inf')
-    asked_until: float = float('-inf')
+    backoff_until: float = float('-inf')
 
-    def note_asked_rest(self, until: float) -> None:
+    def note_backoff(self, until: float) -> None:
         """Take in that the server wants nothing from this host until then."""
-        self.asked_until = max(self.asked_until, until)
+        self.backoff_until = max(self.backoff_until, until)
 
-    def is_asked_off(self, now: float) -> bool:
+    def is_backing_off(self, now: float) -> bool:
         """Tell whether the server still wants nothing from this host."""
-        return now < self.asked_until
+        return now < self.backoff_until
 
     def note_success(self) -> None:
         """Take in an attempt that went well."""
--- a/src/monsoonwall/gateway/conduct.py
+++ b/src/monsoonwall/gateway/conduct.py
@@ -184,7 +184,7 @@
             health.note_success()
         elif outcome.ending in _SILENT:
             health.note_silence(now)
-        elif not health.is_asked_off(now):
+        elif not health.is_backing_off(now):
             # A full server that says when to come back has not failed.
             health.note_failure()
 
--- a/src/monsoonwall/gateway/dialect.py
+++ b/src/monsoonwall/gateway/dialect.py
@@ -40,7 +40,7 @@
     """Hold what the head of a server's response says.
 
     ``keep_seconds`` is how long the server keeps the idle channel open,
-    ``rest_seconds`` for how long it wants nothing from this host, and
+    ``backoff_seconds`` for how long it wants nothing from this host, and
     ``leaving`` whether it is about to end.
     """
 
@@ -49,7 +49,7 @@
     not_executed: bool
     closes: bool
     keep_seconds: float | None = None
-    rest_seconds: float | None = None
+    backoff_seconds: float | None = None
     leaving: bool = False
 
 
--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -112,7 +112,7 @@
             self._mesh.board, self._knowledge, self._clock, self._random
         ).run()
         yield self._duties.run()
-        yield self._serving.wishes.run()
+        yield self._serving.signals.run()
         yield self._serving.pool.run()
         yield self._serving.evacuator.run()
         yield _repeat(self._serving.exchange_loads, _LOAD_SECONDS)
--- a/src/monsoonwall/gateway/ordering.py
+++ b/src/monsoonwall/gateway/ordering.py
@@ -30,8 +30,8 @@
 # these to the last. Meanwhile callers are served by too few servers.
 _FIRST_REFUSED_SECONDS: Final = 1.5
 _MOST_REFUSED_SECONDS: Final = 4.0
-# A zone counts as dry until an order has not been refused for so long.
-_DRY_SECONDS: Final = 12.0
+# A zone counts as exhausted until an order has not been refused for so long.
+_EXHAUSTED_SECONDS: Final = 12.0
 # What was ordered has to show this long after the time that booting takes.
 _SHOW_SECONDS: Final = 3.0
 # Reclaims of other zones follow within seconds, so that lasting servers are
@@ -139,28 +139,30 @@
         )
         peak = self._peaks.setdefault(service.name, DemandPeak())
         now = self._clock.read_monotonic()
-        dry = self._list_dry(service.name, now)
+        exhausted = self._list_exhausted(service.name, now)
         if peak.is_known(now):
-            return plan_zones(bounds, running, peak.read(), dry)
+            return plan_zones(bounds, running, peak.read(), exhausted)
         if self._first_start:
             expected = expect_busy(self._found.get(service.name, 0))
-            return plan_zones(bounds, running, max(expected, peak.read()), dry)
+            return plan_zones(
+                bounds, running, max(expected, peak.read()), exhausted
+            )
         # After a restart of all hosts, what runs was ordered by demand.
         if not peak.read():
             return running
-        least = plan_zones(bounds, running, peak.read(), dry)
+        least = plan_zones(bounds, running, peak.read(), exhausted)
         return {
             zone: raise_fleet(bounds, running[zone], least[zone])
             for zone in bounds.prices
         }
 
-    def _list_dry(self, service: str, now: float) -> frozenset[str]:
+    def _list_exhausted(self, service: str, now: float) -> frozenset[str]:
         """Return the zones that have no reclaimable servers to give."""
         return frozenset(
             place[1]
             for place in self._refusals
             if (place[0], place[2]) == (service, True)
-            and now < self._again_at[place] + _DRY_SECONDS
+            and now < self._again_at[place] + _EXHAUSTED_SECONDS
         )
 
     def _keep(
@@ -174,7 +176,9 @@
         place = (service, zone)
         if wanted.lasting >= has.lasting:
             self._kept[place] = now + _KEEP_SECONDS
-        elif now < self._kept.get(place, now) or self._list_dry(service, now):
+        elif now < self._kept.get(place, now) or self._list_exhausted(
+            service, now
+        ):
             return has.lasting
         return wanted.lasting
 
--- a/src/monsoonwall/gateway/placing.py
+++ b/src/monsoonwall/gateway/placing.py
@@ -56,7 +56,7 @@
     def choose(self, journey: Journey) -> Place | Refusal:
         """Return the place for the next sending, or why there is none."""
         known = self._list_servers(journey)
-        servers = self._drop_asked_off(known)
+        servers = self._drop_backing_off(known)
         candidates = self._describe(journey, servers)
         placement = choose_server(tuple(candidates.values()))
         if placement is None:
@@ -68,7 +68,7 @@
 
     def choose_other(self, journey: Journey, left: str) -> Place | None:
         """Return where a run that has to leave a server goes on."""
-        servers = self._drop_asked_off(self._list_servers(journey))
+        servers = self._drop_backing_off(self._list_servers(journey))
         servers.pop(left, None)
         candidates = self._describe(journey, servers)
         placement = choose_server(tuple(candidates.values()))
@@ -101,7 +101,7 @@
         }
         return dict(self._rollouts.filter_servers(journey, servers))
 
-    def _drop_asked_off(
+    def _drop_backing_off(
         self, servers: Mapping[str, BackendServer]
     ) -> dict[str, BackendServer]:
         """Return the servers that did not ask to be left alone for now."""
@@ -109,7 +109,7 @@
         return {
             name: server
             for name, server in servers.items()
-            if not self._loads.find_health(server).is_asked_off(now)
+            if not self._loads.find_health(server).is_backing_off(now)
         }
 
     def _refuse_without_server(
@@ -123,7 +123,7 @@
                 self._spread_retry(_LEAST_RETRY_SECONDS),
             )
         first = min(
-            self._loads.find_health(server).asked_until
+            self._loads.find_health(server).backoff_until
             for server in known.values()
         )
         wait = first - self._clock.read_monotonic()
@@ -143,12 +143,11 @@
         if servers and prompt is not None and prompt.subject:
             home = choose_by_hash(prompt.subject, servers)
         fresh = [name for name in servers if name not in journey.tried]
-        looked_at = {
-            *sample_servers(
-                fresh or servers, self._count_hosts(), self._random
-            ),
-            *(name for name in (home,) if name in fresh),
-        }
+        looked_at = set(
+            sample_servers(fresh or servers, self._count_hosts(), self._random)
+        )
+        if home in fresh:
+            looked_at.add(home)
         return {
             name: self._loads.make_candidate(
                 servers[name],
--- a/src/monsoonwall/gateway/serving.py
+++ b/src/monsoonwall/gateway/serving.py
@@ -19,8 +19,8 @@
 from monsoonwall.gateway.runs import RunBook
 from monsoonwall.gateway.sending import Sender
 from monsoonwall.gateway.settings import GatewaySettings
+from monsoonwall.gateway.signals import ServerSignals
 from monsoonwall.gateway.usage import UsageBook
-from monsoonwall.gateway.wishes import ServerWishes
 
 # Hosts that are assumed before any of the others was met: as many as the
 # larger of today's sites has.
@@ -64,8 +64,8 @@
             self.count_hosts,
         )
         runs = RunBook()
-        self.wishes = ServerWishes(mesh.board, knowledge, self.loads, clock)
-        sender = Sender(outside.dialect, clock, self.wishes)
+        self.signals = ServerSignals(mesh.board, knowledge, self.loads, clock)
+        sender = Sender(outside.dialect, clock, self.signals)
         self.pool = sender.pool
         self.evacuator = Evacuator(
             knowledge,
--- a/src/monsoonwall/gateway/wishes.py
+++ b/src/monsoonwall/gateway/signals.py
@@ -1,4 +1,4 @@
-"""Follow what servers ask of this host in their answers."""
+"""Follow what servers signal in the heads of their answers."""
 
 from monsoonwall.clocks import Clock
 from monsoonwall.gateway.departures import Departures
@@ -13,8 +13,8 @@
 _log = make_logger('servers')
 
 
-class ServerWishes(AnswerObserver):
-    """Leave servers alone that ask for it."""
+class ServerSignals(AnswerObserver):
+    """Leave alone servers that are full or leave."""
 
     def __init__(
         self,
@@ -35,11 +35,11 @@
         """Take in the head of an answer as soon as it has arrived."""
         if facts.leaving:
             self._departures.note(server)
-        if facts.rest_seconds is not None:
-            until = self._clock.read_monotonic() + facts.rest_seconds
-            self._loads.find_health(server).note_asked_rest(until)
+        if facts.backoff_seconds is not None:
+            until = self._clock.read_monotonic() + facts.backoff_seconds
+            self._loads.find_health(server).note_backoff(until)
             _log.info(
                 'Server asks to be left alone.',
                 server=server.name,
-                seconds=facts.rest_seconds,
+                seconds=facts.backoff_seconds,
             )
--- a/src/monsoonwall/platform/dialect.py
+++ b/src/monsoonwall/platform/dialect.py
@@ -181,7 +181,7 @@
             ),
             closes=headers.get('Connection', '').lower() == 'close',
             keep_seconds=_read_keep_alive(headers),
-            rest_seconds=_read_rest(head),
+            backoff_seconds=_read_backoff(head),
             leaving=headers.get(_LEAVING, '').strip() == _IS_LEAVING,
         )
 
@@ -271,7 +271,7 @@
     return None
 
 
-def _read_rest(head: Head) -> float | None:
+def _read_backoff(head: Head) -> float | None:
     if head.status != HTTPStatus.SERVICE_UNAVAILABLE:
         return None
     try:
--- a/tests/decisions/test_fleet.py
+++ b/tests/decisions/test_fleet.py
@@ -37,9 +37,9 @@
         st.floats(0, 100),
         st.sets(st.sampled_from(sorted(PRICES))),
     )
-    def test_within_bounds(self, least, more, spot, running, busy, dry):
+    def test_within_bounds(self, least, more, spot, running, busy, exhausted):
         bounds = FleetBounds(least, least + more, spot, PRICES)
-        plan = plan_zones(bounds, running, busy, dry)
+        plan = plan_zones(bounds, running, busy, exhausted)
         for fleet in plan.values():
             total = fleet.lasting + fleet.spot
             self.assertTrue(least <= total <= bounds.most)
@@ -53,7 +53,7 @@
         plan = plan_zones(BOUNDS, run_all(1), 0.1)
         self.assertEqual(set(plan.values()), {ZoneFleet(0, 1)})
 
-    def test_dry_zones_are_made_up_for(self):
+    def test_exhausted_zones_are_made_up_for(self):
         running = {**run_all(4), 'a': ZoneFleet(0, 0)}
         plan = plan_zones(BOUNDS, running, 2, {'a'})
         self.assertEqual(plan['b'].spot, 8)
@@ -69,13 +69,13 @@
         # Where no others are, and where they are cheap.
         self.assertGreaterEqual(plan['a'].lasting, plan['c'].lasting)
 
-    def test_two_more_zones_may_be_lost_while_one_is_dry(self):
+    def test_two_more_zones_may_be_lost_while_one_is_exhausted(self):
         """All zones were reclaimed within six seconds."""
         running = {**run_all(3), 'c': ZoneFleet(0, 0)}
         calm = plan_zones(BOUNDS, running, 1.5)
         self.assertEqual(sum(one.lasting for one in calm.values()), 0)
-        dry = plan_zones(BOUNDS, running, 1.5, {'c'})
-        self.assertEqual(sum(one.lasting for one in dry.values()), 2)
+        prepared = plan_zones(BOUNDS, running, 1.5, {'c'})
+        self.assertEqual(sum(one.lasting for one in prepared.values()), 2)
 
     def test_lasting_ones_come_before_what_cannot_be_had(self):
         """All of a zone's room was kept for reclaimed servers."""
--- a/tests/gateway/test_conduct.py
+++ b/tests/gateway/test_conduct.py
@@ -25,8 +25,8 @@
 from monsoonwall.gateway.runs import RunBook
 from monsoonwall.gateway.sending import Sender
 from monsoonwall.gateway.settings import Bounds, GatewaySettings
+from monsoonwall.gateway.signals import ServerSignals
 from monsoonwall.gateway.usage import UsageBook
-from monsoonwall.gateway.wishes import ServerWishes
 from monsoonwall.platform.dialect import PlatformDialect
 from monsoonwall.platform.documents import PlatformCodec
 from tests.gateway.fakes import FakeBoard, RecordingCaller
@@ -148,7 +148,7 @@
                 Sender(
                     self.dialect,
                     clock,
-                    ServerWishes(board, self.knowledge, self.loads, clock),
+                    ServerSignals(board, self.knowledge, self.loads, clock),
                 ),
                 self.loads,
                 self.rollouts,
--- a/tests/gateway/test_wishes.py
+++ b/tests/gateway/test_signals.py
@@ -107,7 +107,7 @@
                     self.knowledge.find_server('i-0')
                 )
                 self.assertFalse(
-                    health.is_asked_off(self.clock.read_monotonic())
+                    health.is_backing_off(self.clock.read_monotonic())
                 )
                 health.failing = 0
 
