--- a/src/monsoonwall/mesh/gossip.py
+++ b/src/monsoonwall/mesh/gossip.py
@@ -32,8 +32,8 @@
 
 _CALL_SECONDS: Final = 1.0
 # Facts that come together travel together, at most so many times a second.
-_PUSH_DELAY_SECONDS: Final = 0.05
-_PUSH_PAUSE_SECONDS: Final = 0.1
+_PUSH_DELAY_SECONDS: Final = 0.02
+_PUSH_PAUSE_SECONDS: Final = 0.08
 
 _log = make_logger('mesh')
 
