--- a/src/monsoonwall/decisions/gossip.py
+++ b/src/monsoonwall/decisions/gossip.py
@@ -25,8 +25,7 @@
 _FULL_PARTNERS: Final = 2
 _PUSH_FANOUT: Final = 2
 # What a host may receive and send of entries and of zone summaries in a wide
-# fleet, beside digests and facts. Hosts of a zone of 40 publish 250 bytes a
-# second each, about what they have to tell.
+# fleet, beside digests and facts.
 _ENTRY_BYTES_PER_SECOND: Final = 20_000
 # In full exchange the rounds come more often, and their digests grow with
 # the fleet; what they leave is for entries.
--- a/src/monsoonwall/decisions/placement.py
+++ b/src/monsoonwall/decisions/placement.py
@@ -22,6 +22,9 @@
 # Each running request slows the tokens of all others; the engines' sheets
 # tell 0.12 ms a step, so that a hundred steps cost this much.
 _RUNNING_SECONDS: Final = 0.012
+# Hosts that hear of each other's work soon enough to choose among all servers.
+_CLOSE_HOSTS: Final = 9
+_LEAST_SAMPLE: Final = 2
 
 
 @dataclass(frozen=True)
@@ -56,11 +59,6 @@
     full: bool
 
 
-# Hosts that hear of each other's work soon enough to choose among all servers.
-_CLOSE_HOSTS: Final = 9
-_LEAST_SAMPLE: Final = 2
-
-
 def sample_servers(
     names: Collection[str], hosts: int, random: Random
 ) -> tuple[str, ...]:
--- a/src/monsoonwall/gateway/departures.py
+++ b/src/monsoonwall/gateway/departures.py
@@ -11,7 +11,7 @@
 from monsoonwall.gateway.model import BackendServer
 from monsoonwall.mesh.board import Board, Entry, Fact
 
-DEPARTURE_KIND: Final = 'server-leaving'
+DEPARTURE_KIND: Final = 'departure'
 # A server that leaves is gone well before.
 _KEEP_SECONDS: Final = 300.0
 _BORN_BYTES: Final = 8
--- a/src/monsoonwall/gateway/evacuation.py
+++ b/src/monsoonwall/gateway/evacuation.py
@@ -17,6 +17,7 @@
 
 # Part of the drain time that runs get to end where they are.
 _WAIT_PART: Final = 0.55
+
 _log = make_logger('evacuation')
 
 
--- a/src/monsoonwall/gateway/following.py
+++ b/src/monsoonwall/gateway/following.py
@@ -28,7 +28,7 @@
 
 # Hosts of each zone that watch the store; the others hear from them.
 WATCHERS_PER_ZONE: Final = 1
-REACH_KIND: Final = 'store-reach'
+_REACH_KIND: Final = 'store-reach'
 _REACHED: Final = b'+'
 _NOT_REACHED: Final = b'-'
 _IDLE_SECONDS: Final = 0.5
@@ -75,13 +75,13 @@
         payload = _REACHED if reached else _NOT_REACHED
         if payload != self._told:
             self._told = payload
-            self._board.publish_entry(REACH_KIND, '', payload)
+            self._board.publish_entry(_REACH_KIND, '', payload)
 
     def list_unreached(self) -> frozenset[str]:
         """Return the hosts that do not reach the store."""
         return frozenset(
             entry.origin
-            for entry in self._board.read_entries(REACH_KIND)
+            for entry in self._board.read_entries(_REACH_KIND)
             if entry.payload == _NOT_REACHED
         )
 
--- a/src/monsoonwall/gateway/limiting.py
+++ b/src/monsoonwall/gateway/limiting.py
@@ -26,7 +26,7 @@
 _TOLERANCE_PART: Final = 0.3
 # Grants are told twice a second and reach most hosts in three rounds.
 _LAG_SECONDS: Final = 1.0
-# Between zones of a wide fleet they pass three relays, a second each.
+# Between zones of a wide fleet they pass three relays and the rounds of each.
 _WIDE_LAG_SECONDS: Final = 3.0
 # Most hosts' grants are the same as half a second ago.
 _CACHED_PAYLOADS: Final = 256
--- a/src/monsoonwall/gateway/ordering.py
+++ b/src/monsoonwall/gateway/ordering.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from typing import Final
 
 from monsoonwall.clocks import Clock
@@ -41,6 +42,15 @@
 _log = make_logger('fleet')
 
 
+@dataclass(frozen=True)
+class _Place:
+    """Name what an order is about: a service's servers of a kind in a zone."""
+
+    service: str
+    zone: str
+    spot: bool
+
+
 class FleetOrderer:
     """Compare what runs with the plan and order the difference."""
 
@@ -61,9 +71,9 @@
         self._first_start = settings.first_start
         self._peaks: dict[str, DemandPeak] = {}
         self._kept: dict[tuple[str, str], float] = {}
-        self._again_at: dict[tuple[str, str, bool], float] = {}
-        self._ordered: dict[tuple[str, str, bool], int] = {}
-        self._refusals: dict[tuple[str, str, bool], Backoff] = {}
+        self._again_at: dict[_Place, float] = {}
+        self._ordered: dict[_Place, int] = {}
+        self._refusals: dict[_Place, Backoff] = {}
         # The most lasting servers of each service that were ever found.
         self._found: dict[str, int] = {}
 
@@ -111,7 +121,7 @@
             # Reclaimable servers come before others are given up, as far as
             # the zone has room for both.
             ordered = self._ordered.get(
-                (service.name, zone, False), has.lasting
+                _Place(service.name, zone, spot=False), has.lasting
             )
             spot = min(wanted.spot, most - max(lasting, ordered))
             await self._order(
@@ -159,9 +169,9 @@
     def _list_exhausted(self, service: str, now: float) -> frozenset[str]:
         """Return the zones that have no reclaimable servers to give."""
         return frozenset(
-            place[1]
+            place.zone
             for place in self._refusals
-            if (place[0], place[2]) == (service, True)
+            if place == _Place(service, place.zone, spot=True)
             and now < self._again_at[place] + _EXHAUSTED_SECONDS
         )
 
@@ -200,7 +210,7 @@
         running: int,
         service: Service,
     ) -> None:
-        place = (order.service, order.zone, order.spot)
+        place = _Place(order.service, order.zone, order.spot)
         now = self._clock.read_monotonic()
         same = self._ordered.get(place) == order.count
         if (same and running >= order.count) or running == order.count:
@@ -225,9 +235,7 @@
             ending=ending,
         )
 
-    def _delay(
-        self, place: tuple[str, str, bool], ending: DutyEnding, now: float
-    ) -> float:
+    def _delay(self, place: _Place, ending: DutyEnding, now: float) -> float:
         """Return when to try an order again that was not carried out."""
         if ending is not DutyEnding.refused:
             return now + _FIRST_REFUSED_SECONDS
--- a/src/monsoonwall/gateway/sending.py
+++ b/src/monsoonwall/gateway/sending.py
@@ -17,6 +17,7 @@
 _CONNECT_SECONDS: Final = 0.5
 # Answers to other requests that are passed over on one channel.
 _MAX_STRAY_ANSWERS: Final = 2
+# The longest of them that is read to its end; a longer one spoils its channel.
 _MAX_STRAY_BYTES: Final = 65_536
 _FIRST_REDIRECT: Final = 300
 
--- a/src/monsoonwall/gateway/usage.py
+++ b/src/monsoonwall/gateway/usage.py
@@ -67,7 +67,7 @@
         self._told = _Told(self._time.read(), {})
         self._published: dict[str, bytes] = {}
         self._heard: dict[tuple[str, float], dict[int, Counts]] = {}
-        # The last payload of each origin and key, as many as hosts tell.
+        # What was heard last, by origin and key.
         self._payloads: dict[tuple[str, str], bytes] = {}
         board.declare_merge(USAGE_KIND, merge_usage)
 
@@ -95,8 +95,13 @@
             self._publish(number, counts)
         entries = self._board.read_entries(USAGE_KIND)
         self._wide = any(map(is_zone_summary, entries))
-        for entry in entries:
-            self._hear((entry.origin, entry.key), entry.payload)
+        known = self._payloads
+        self._payloads = {
+            (entry.origin, entry.key): entry.payload for entry in entries
+        }
+        for place, payload in self._payloads.items():
+            if known.get(place) != payload:
+                self._hear(place[0], payload)
         self._forget(current - _KEPT_WINDOWS)
 
     def sum_window(self, number: int) -> Counts:
@@ -127,12 +132,8 @@
             self._published[key] = payload
             self._board.publish_entry(USAGE_KIND, key, payload)
 
-    def _hear(self, place: tuple[str, str], payload: bytes) -> None:
-        if self._payloads.get(place) == payload:
-            return
-        self._payloads[place] = payload
+    def _hear(self, origin: str, payload: bytes) -> None:
         told = _decode_told(payload)
-        origin = place[0]
         # Kept also after the host is gone, with what it counted. The sum of a
         # zone shrinks when a host leaves it; what was counted stays.
         known = self._heard.setdefault((origin, told.started_wall), {})
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -44,7 +44,7 @@
 
     def end_window(self):
         self.exchange()
-        self.clock.advance(10)
+        self.clock.advance(7)
         self.exchange()
 
     def exchange(self):
