Keep the latest life of a server that said it leaves

Cause, found by reading: news of an earlier life, as of an answer that was under way, replaced the later one, and with the next change of its entry a server that had said that it leaves was used again. The test failed first.

--- a/src/monsoonwall/gateway/knowledge.py
+++ b/src/monsoonwall/gateway/knowledge.py
@@ -46,8 +46,9 @@
         self._born: OrderedDict[str, int] = OrderedDict()
 
     def add(self, name: str, born: int) -> bool:
-        """Take in a life; return whether it is new."""
-        if self._born.get(name) == born:
+        """Take in a life; return whether it is a later one than known."""
+        known = self._born.get(name)
+        if known is not None and known >= born:
             return False
         self._born[name] = born
         self._born.move_to_end(name)
--- a/tests/gateway/test_signals.py
+++ b/tests/gateway/test_signals.py
@@ -138,6 +138,15 @@
         self.assertFalse(other.find_server('i-9').leaving)
         listening.cancel()
 
+    def test_late_news_of_an_earlier_life_changes_nothing(self):
+        """A server that had said that it leaves was in use again."""
+        knowledge = Knowledge(PlatformCodec(), ManualClock(1000), 2)
+        self.adopt(knowledge, 1, born=8)
+        self.assertTrue(knowledge.note_leaving('i-9', 8))
+        self.assertFalse(knowledge.note_leaving('i-9', 7))
+        self.adopt(knowledge, 2, born=8)
+        self.assertTrue(knowledge.find_server('i-9').leaving)
+
     def adopt(self, knowledge, revision, born):
         spec = (
             b'{"service":"app","address":"10.0.0.1:80","zone":"a",'
