--- a/tests/gateway/test_endless.py
+++ b/tests/gateway/test_endless.py
@@ -10,6 +10,7 @@
 from monsoonwall.transport.channels import call
 from monsoonwall.transport.messages import OutgoingRequest
 from tests.gateway.test_conduct import (
+    STREAM_END,
     STREAM_HEAD,
     ConductorCase,
     chunk,
@@ -91,6 +92,18 @@
         self.assertEqual(caller.ending, 'cut')
         self.assertLess(self.servers[0].endless_bytes, MOST_BYTES)
 
+    async def test_slow_but_sound_stream_is_passed_on_whole(self):
+        """Its pause is longer than a first event is awaited."""
+        self.configure()
+        events = [make_event(1), make_event(2)]
+        first, second = map(chunk, events)
+        self.servers[0].answers = [
+            [STREAM_HEAD, first, 0.4, second, STREAM_END]
+        ]
+        caller = await self.ask('/draft/x')
+        self.assertEqual(caller.ending, 'finished')
+        self.assertEqual(caller.body, b''.join(events))
+
     async def test_stream_that_sends_a_byte_now_and_then_ends(self):
         self.configure()
         self.servers[0].answers = [
