Log which hosts watch the store and how long its failed calls took

Needed to tell a watch that the store lost from a host that does not watch: 'Watching the store.' and 'No longer watching the store.' name the kind of record, and 'Store does not answer.' says in waited_ms how long the call took. No decision changes.

--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -41,6 +41,7 @@
 # Delay between watch calls, so that one call returns several changes. Counts
 # towards the time within which a change must take effect.
 _BATCH_SECONDS: Final = 0.3
+_MILLISECONDS_PER_SECOND: Final = 1000
 
 _log = make_logger('store')
 
@@ -120,16 +121,30 @@
         self._backoff = Backoff(_MIN_BACKOFF_SECONDS, _MAX_BACKOFF_SECONDS)
         self._revision: int | None = None
         self._reachable = True
+        self._watching = False
 
     async def run(self) -> None:
         """List and watch until cancelled."""
         while True:
-            if self._revision is None or self._election.is_elected():
+            elected = self._election.is_elected()
+            self._log_election(elected)
+            if self._revision is None or elected:
                 await self._step()
             else:
                 await asyncio.sleep(_STANDBY_SECONDS)
 
+    def _log_election(self, elected: bool) -> None:
+        if elected is not self._watching:
+            self._watching = elected
+            _log.info(
+                'Watching the store.'
+                if elected
+                else 'No longer watching the store.',
+                kind=self._kind,
+            )
+
     async def _step(self) -> None:
+        began = self._clock.read_monotonic()
         failure = await (
             self._list() if self._revision is None else self._watch()
         )
@@ -142,7 +157,7 @@
             )
             self._revision = None
         else:
-            await self._back_off(failure)
+            await self._back_off(failure, began)
 
     async def _list(self) -> StoreFailure | None:
         # A stale list is cheaper, but safe only when the whole system starts
@@ -187,15 +202,18 @@
             self._reachable = True
             _log.info('Store answers again.', kind=self._kind)
 
-    async def _back_off(self, failure: StoreFailure) -> None:
+    async def _back_off(self, failure: StoreFailure, began: float) -> None:
         self._record_cache.mark_store_failed()
         self._election.publish_reachability(reachable=False)
+        now = self._clock.read_monotonic()
         if self._reachable:
             self._reachable = False
             _log.warning(
-                'Store does not answer.', kind=self._kind, reason=failure
+                'Store does not answer.',
+                kind=self._kind,
+                reason=failure,
+                waited_ms=round(_MILLISECONDS_PER_SECOND * (now - began)),
             )
-        now = self._clock.read_monotonic()
         until = self._backoff.record_failure(now, self._random.random())
         await asyncio.sleep(until - now)
 
