--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -30,9 +30,18 @@
         self.events = []
         self.refuse = False
         self.lose_responses = False
+        self.silent_addresses = set()
         self.calls = 0
         self.changed = asyncio.Event()
 
+    def silence(self, address):
+        """Respond to no call at an address, not even to waiting ones."""
+        self.silent_addresses.add(address)
+
+    def respond_again(self, address):
+        """Respond to later calls; those lost before get no response."""
+        self.silent_addresses.discard(address)
+
     def put(self, kind, name, spec, status=None):
         self.revision += 1
         metadata = {'name': name, 'revision': self.revision}
@@ -75,12 +84,18 @@
     def initialize(self, store):
         self.store = store
 
-    def prepare(self):
+    async def prepare(self):
         self.store.calls += 1
+        await self.wait_if_silent()
         if self.store.refuse:
             self.set_status(503)
             self.finish()
 
+    async def wait_if_silent(self):
+        """Wait forever if the called address is silent."""
+        if self.request.host in self.store.silent_addresses:
+            await asyncio.Event().wait()
+
     def respond(self, body, status=200):
         if self.store.lose_responses and self.request.method != 'GET':
             self.request.connection.stream.close()
@@ -117,6 +132,7 @@
                     await self.store.changed.wait()
         except TimeoutError:
             pass
+        await self.wait_if_silent()
         events = self.store.list_events(kind, after)
         self.respond({'events': events, 'at': self.store.revision})
 
