Notice within three seconds that the store has lost a watch

Cause: one host a zone watched the store, with a call that was trusted for 7.5 to 11.5 s. A call that a silent store has lost looks like one without news until then.

Ruled out: large configurations in storms over slow links and cuts, kills and freezes of the watching hosts hold on the same code; spreading takes 1.1 s in the fleet of 74.

Class: a failure detector slower than the bound of what depends on it.

Now a watch waits for 1.5 to 2 s and is given up 0.7 s later, a call that timed out is repeated at once, and three hosts a zone watch. The choice test takes seven hosts now, since three of three always watch; it checks more than before: the number, and that the watching hosts stay.

--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -1,6 +1,6 @@
 """Keep the record cache up to date from the platform's metadata store.
 
-One host of each zone watches the store; the others receive its changes over
+A few hosts of each zone watch the store; the others receive its changes over
 the mesh (see ``record_gossip``).
 """
 
@@ -22,18 +22,20 @@
 from monsoonwall.metrics import GATEWAY_STORE_LAST_RESPONSE
 from monsoonwall.platform.objects import StoreFailure
 
-# A store that stops responding is noticed when a watch ends. The jitter makes
-# the hosts' watches end at different times, and the first host that notices
-# publishes it to the others.
-_WATCH_SECONDS: Final = 8.0
-_WATCH_JITTER: Final = 0.25
+# A watch that the store has lost looks like one without news until it times
+# out. With the timeout of the call, this stays below the required contact time
+# (3 s). The jitter makes the hosts' watches end at different times.
+_MIN_WATCH_SECONDS: Final = 1.5
+_MAX_WATCH_SECONDS: Final = 2.0
 # Kept short, because hosts must reach a recovered store within the required
 # contact time.
 _MIN_BACKOFF_SECONDS: Final = 0.2
 _MAX_BACKOFF_SECONDS: Final = 0.8
 
-# Number of hosts of each zone that watch the store.
-WATCHERS_PER_ZONE: Final = 1
+# Number of hosts of each zone that watch the store. The store may stop
+# responding to some hosts and go on serving the others, which must then still
+# receive changes.
+WATCHERS_PER_ZONE: Final = 3
 _REACHABILITY_KIND: Final = 'store-reach'
 _REACHABLE: Final = b'+'
 _UNREACHABLE: Final = b'-'
@@ -175,8 +177,10 @@
         return None
 
     async def _watch(self) -> StoreFailure | None:
-        jitter = 1 + _WATCH_JITTER * (2 * self._random.random() - 1)
-        deadline = self._clock.read_monotonic() + _WATCH_SECONDS * jitter
+        wait_seconds = self._random.uniform(
+            _MIN_WATCH_SECONDS, _MAX_WATCH_SECONDS
+        )
+        deadline = self._clock.read_monotonic() + wait_seconds
         watched = await self._source.watch_records(
             self._kind, self._revision or 0, deadline
         )
@@ -214,8 +218,10 @@
                 reason=failure,
                 waited_ms=round(_MILLISECONDS_PER_SECOND * (now - began)),
             )
-        until = self._backoff.record_failure(now, self._random.random())
-        await asyncio.sleep(until - now)
+        # Counted from the start of the call: one that timed out has paused
+        # long enough.
+        until = self._backoff.record_failure(began, self._random.random())
+        await asyncio.sleep(max(0, until - now))
 
 
 def make_watchers(
--- a/src/monsoonwall/platform/store.py
+++ b/src/monsoonwall/platform/store.py
@@ -45,6 +45,8 @@
 
 # The store responds within milliseconds, or hundreds of them if it is slow.
 _CALL_TIMEOUT_SECONDS: Final = 1.5
+# How long a response to a watch may take after the time that it waits.
+_WATCH_TIMEOUT_SECONDS: Final = 0.7
 _MILLISECONDS_PER_SECOND: Final = 1000
 _MAX_WAIT_MILLISECONDS: Final = 30_000
 _OBJECTS_PATH: Final = '/monsoonwall/objects'
@@ -240,7 +242,7 @@
         fetched = await self._fetch(
             OutgoingRequest('GET', f'{_OBJECTS_PATH}/{kind}?{query}', ()),
             reason,
-            remaining_seconds + _CALL_TIMEOUT_SECONDS,
+            remaining_seconds + _WATCH_TIMEOUT_SECONDS,
         )
         return fetched.bind(
             lambda reply: decode_response(reply, StoreEvents)
--- a/tests/gateway/test_record_watchers.py
+++ b/tests/gateway/test_record_watchers.py
@@ -9,6 +9,7 @@
 from monsoonwall.clocks import SystemClock
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_watchers import (
+    WATCHERS_PER_ZONE,
     RecordWatcher,
     WatcherElection,
     is_chosen_watcher,
@@ -19,7 +20,7 @@
 from monsoonwall.platform.objects import StoreFailure
 from tests.gateway.fakes import FakeBoard
 
-HOSTS = ('edge-1', 'edge-2', 'edge-3')
+HOSTS = tuple(f'edge-{number}' for number in range(1, 8))
 
 
 class NoPeers(Peers):
@@ -101,8 +102,12 @@
         self.assertEqual(self.election.list_unreachable_hosts(), {'edge-1'})
 
     def test_another_host_is_chosen_when_the_watcher_is_gone(self):
-        watcher = next(host for host in HOSTS if is_chosen_watcher(host, HOSTS))
-        others = [host for host in HOSTS if host != watcher]
-        self.assertEqual(
-            sum(is_chosen_watcher(host, others) for host in others), 1
-        )
+        watchers = {host for host in HOSTS if is_chosen_watcher(host, HOSTS)}
+        self.assertEqual(len(watchers), WATCHERS_PER_ZONE)
+        for gone in watchers:
+            others = [host for host in HOSTS if host != gone]
+            chosen = {
+                host for host in others if is_chosen_watcher(host, others)
+            }
+            self.assertEqual(len(chosen), WATCHERS_PER_ZONE)
+            self.assertLess(watchers - {gone}, chosen)
