Log the limits that servers name in their responses

Needed to tell a limit that is not read from one that each host keeps for itself: 'Server limits its requests.' names the server, its incarnation and the limit. The header Server-Limit is decoded in platform/; no decision depends on it yet.

--- a/src/monsoonwall/gateway/dialect.py
+++ b/src/monsoonwall/gateway/dialect.py
@@ -44,8 +44,10 @@
     ``not_executed`` whether the server refused without running the request,
     ``closes_channel`` whether the server closes the channel after the response,
     ``keep_alive_seconds`` how long the server keeps an idle channel open,
-    ``backoff_seconds`` how long this host must send it no requests, and
-    ``leaving`` whether the server is shutting down.
+    ``backoff_seconds`` how long this host must send it no requests,
+    ``leaving`` whether the server is shutting down, and ``requests_per_second``
+    how many requests it accepts from all hosts together, None if it names no
+    limit.
     """
 
     attempt_id: str
@@ -55,6 +57,7 @@
     keep_alive_seconds: float | None = None
     backoff_seconds: float | None = None
     leaving: bool = False
+    requests_per_second: float | None = None
 
 
 class Dialect(ABC):
--- a/src/monsoonwall/gateway/signals.py
+++ b/src/monsoonwall/gateway/signals.py
@@ -45,3 +45,10 @@
                 server=server.name,
                 seconds=response_info.backoff_seconds,
             )
+        if response_info.requests_per_second is not None:
+            _log.info(
+                'Server limits its requests.',
+                server=server.name,
+                born=server.born,
+                requests_per_second=response_info.requests_per_second,
+            )
--- a/src/monsoonwall/platform/dialect.py
+++ b/src/monsoonwall/platform/dialect.py
@@ -49,6 +49,7 @@
 _RETRY_AFTER: Final = 'Retry-After'
 _LEAVING: Final = 'Server-Leaving'
 _LEAVING_VALUE: Final = '1'
+_LIMIT: Final = 'Server-Limit'
 
 _HOP_BY_HOP_HEADERS: Final = frozenset(
     (
@@ -193,6 +194,7 @@
             keep_alive_seconds=_read_keep_alive(headers),
             backoff_seconds=_read_backoff(head),
             leaving=headers.get(_LEAVING, '').strip() == _LEAVING_VALUE,
+            requests_per_second=_read_limit(headers),
         )
 
     def write_response_headers(self, head: Head) -> HTTPHeaders:
@@ -292,5 +294,13 @@
     return seconds if isfinite(seconds) and seconds > 0 else None
 
 
+def _read_limit(headers: HTTPHeaders) -> float | None:
+    try:
+        limit = float(headers.get(_LIMIT, ''))
+    except ValueError:
+        return None
+    return limit if isfinite(limit) and limit >= 0 else None
+
+
 def _make_bad_request(detail: str) -> Result[CallerRequest, Refusal]:
     return Failure(Refusal(RefusalReason.bad_request, Effect.not_run, detail))
