--- a/tests/gateway/test_gateway_processes.py
+++ b/tests/gateway/test_gateway_processes.py
@@ -58,6 +58,10 @@
         )
         self._loop.run_forever()
 
+    def make_response(self, attempt_id):
+        """Return the response to the request with an id."""
+        return make_response(b'found', attempt_id=attempt_id)
+
     async def _serve(self, reader, writer):
         try:
             while True:
@@ -71,7 +75,7 @@
                 await asyncio.sleep(self.delay_seconds)
                 self.running -= 1
                 self.served += 1
-                writer.write(make_response(b'found', attempt_id=attempt_ids[0]))
+                writer.write(self.make_response(attempt_ids[0]))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             writer.close()
