Wait until a host that starts later is in contact with the others

Cause shown: started without seeds, so that it is not in contact yet, it fails in just this way (502 != 503).

--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -160,6 +160,13 @@
         seeds = [ports['control'] for ports in hosts]
         late_host = self.start_gateway('edge-late', seeds)[1]
         self.wait_ready(late_host)
+        # A host that has just started must be in contact within this time.
+        self.assertTrue(
+            wait_until(
+                lambda: self.count_peers(late_host) == len(hosts),
+                PROPAGATION_SECONDS,
+            )
+        )
         self.wait_servers_replaced()
         arrived = len(self.servers.arrivals)
         for _ in range(5):
