--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -45,7 +45,8 @@
 from monsoonwall.mesh.wire.gossip_pb2_grpc import MeshStub
 from monsoonwall.pipeline.answers import Answer
 from monsoonwall.pipeline.messages import Call, Priority
-from tests.standins.deployment import Deployment, find_free_port
+from tests.standins.deployment import Deployment
+from tests.standins.ports import find_free_port
 
 LEASE_SIMULATION_SECONDS = 1200
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -17,9 +17,9 @@
     ROOT,
     Deployment,
     Reply,
-    find_free_port,
     wait_until,
 )
+from tests.standins.ports import find_free_port
 
 KEEP_FLAG = '--keep'
 
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -11,11 +11,8 @@
 
 from monsoonwall.__main__ import COMMANDS, run
 from tests.runner import ROOT
-from tests.standins.deployment import (
-    Deployment,
-    find_free_port,
-    wait_until,
-)
+from tests.standins.deployment import Deployment, wait_until
+from tests.standins.ports import find_free_port
 
 EXAMPLE = ROOT / 'examples' / 'hivatal.json'
 
--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -7,7 +7,8 @@
 import unittest
 from pathlib import Path
 
-from tests.standins.deployment import ROOT, find_free_port, send, wait_until
+from tests.standins.deployment import ROOT, send, wait_until
+from tests.standins.ports import find_free_port
 
 SETTINGS = """
 node = "{name}"
--- a/tests/gateway/test_gateway_processes.py
+++ b/tests/gateway/test_gateway_processes.py
@@ -12,7 +12,8 @@
 from msgspec import json
 
 from tests.gateway.processes import GatewayProcessCase
-from tests.standins.deployment import ROOT, find_free_port, send, wait_until
+from tests.standins.deployment import ROOT, send, wait_until
+from tests.standins.ports import find_free_port
 from tests.standins.raw_server import make_response
 
 CONFIGURATION = {
--- a/tests/mesh/test_processes.py
+++ b/tests/mesh/test_processes.py
@@ -4,7 +4,8 @@
 import time
 import unittest
 
-from tests.standins.deployment import Deployment, find_free_port, wait_until
+from tests.standins.deployment import Deployment, wait_until
+from tests.standins.ports import find_free_port
 from tests.standins.relay import Relays
 
 NAMES = ('entry-0', 'entry-1', 'entry-2', 'entry-3')
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -16,7 +16,8 @@
 from monsoonwall.platform.objects import CallReason, StoreFailure
 from monsoonwall.platform.status import StatusWriter
 from tests.configuration.test_submission import FaultyStore
-from tests.standins.deployment import Deployment, find_free_port
+from tests.standins.deployment import Deployment
+from tests.standins.ports import find_free_port
 
 KEY = 'claims/one'
 reasons = st.sampled_from(CallReason)
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -5,8 +5,6 @@
 """
 
 import os
-import random
-import socket
 import subprocess
 import sys
 import time
@@ -17,28 +15,11 @@
 
 from msgspec import json
 
+from tests.standins.ports import find_free_port
+
 ROOT = Path(__file__).resolve().parent.parent.parent
 API_KEY = 'depot-key'
 START_TIMEOUT_SECONDS = 20
-PORT_RANGE = (12_000, 32_000)
-MAX_PORT_TRIES = 100
-
-
-def find_free_port():
-    """Return a loopback port that is not in use.
-
-    It is below the range of ephemeral ports: an outgoing connection could take
-    one of those before the process that is to listen on it has started.
-    """
-    for _ in range(MAX_PORT_TRIES):
-        port = random.randrange(*PORT_RANGE)
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            return port
-    raise AssertionError('no free port found')
 
 
 @dataclass(frozen=True)
--- a/tests/streams/test_replication.py
+++ b/tests/streams/test_replication.py
@@ -15,7 +15,7 @@
 from monsoonwall.streams.replication import Replicator
 from monsoonwall.streams.runner import AnswerRunner
 from monsoonwall.streams.servicer import AnswersService
-from tests.standins.deployment import find_free_port
+from tests.standins.ports import find_free_port
 
 CALL = Call(
     request_id='own.1',
