Check that a configuration is not reverted on any host

It now starts a third host, kills and restarts it, and for 4 s asks all three hosts with the earlier key: it is refused or the host is not ready yet.

--- a/tests/gateway/test_gateway_processes.py
+++ b/tests/gateway/test_gateway_processes.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 import time
+from contextlib import suppress
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 
@@ -16,6 +17,8 @@
 from tests.standins.ports import find_free_port
 from tests.standins.raw_server import make_response
 
+# A restarted host serves requests well within this time.
+RESTART_SECONDS = 4.0
 CONFIGURATION = {
     'version': 1,
     'routes': [
@@ -244,6 +247,23 @@
                 wait_until(lambda host=ports: self.fetch(host)[0] == 401)
             )
             self.assertEqual(self.fetch(ports, key='new')[0], 200)
+        # A host that starts again, and the others beside it, never accept the
+        # earlier key again.
+        restarted, third = self.start_gateway(
+            'edge-3', seeds=(first['control'], second['control'])
+        )
+        self.wait_ready(third)
+        restarted.kill()
+        restarted.wait()
+        self.start_gateway('edge-3', (first['control'],), third)
+        statuses = set()
+        deadline = time.monotonic() + RESTART_SECONDS
+        while time.monotonic() < deadline:
+            for ports in (first, second, third):
+                with suppress(OSError):
+                    statuses.add(self.fetch(ports)[0])
+        self.assertLessEqual(statuses, {401, 503})
+        self.assertEqual(self.fetch(third, key='new')[0], 200)
 
     def test_invalid_settings_are_reported(self):
         path = Path(self.folder.name) / 'bad.toml'
