Let the soak silence the store, revoke keys and limit servers

Three kinds of faults more, and the checks CONFIG and LIMIT, each with a run that violates it in tests/soak/test_checks.py.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,11 +5,12 @@
 from http.client import HTTPConnection, HTTPException
 from random import Random
 
-from tests.soak.checks import Outcome
+from tests.soak.checks import KeyProbe, Outcome
 from tests.standins.crashing_servers import POISON
 
 TIMEOUT_SECONDS = 5
 PAUSE_SECONDS = 0.03
+PROBE_SECONDS = 0.25
 # Shares of the requests: non-idempotent ones, ones with the same content from
 # all callers, and ones that crash servers.
 RESERVE_SHARE = 0.2
@@ -97,6 +98,52 @@
         return kind, attempt_id.encode()
 
 
+class KeyProber:
+    """Send requests with the last revoked key to all hosts in turn."""
+
+    def __init__(self, front_ports):
+        self.probes = []
+        self._front_ports = front_ports
+        self._revoked = None
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def start(self):
+        self._thread.start()
+
+    def stop(self):
+        self._stopped.set()
+        self._thread.join()
+
+    def revoke(self, key, confirmed_at):
+        """Probe this key from now on."""
+        self._revoked = key, confirmed_at
+
+    def _run(self):
+        while not self._stopped.wait(PROBE_SECONDS):
+            if self._revoked is not None:
+                for port in self._front_ports:
+                    self._probe(port, *self._revoked)
+
+    def _probe(self, port, key, revoked_at):
+        connection = HTTPConnection('127.0.0.1', port, timeout=TIMEOUT_SECONDS)
+        sent_at = time.monotonic()
+        headers = {
+            'Host': 'desk',
+            'Api-Key': key,
+            'X-Monsoonwall-Attempt-Id': f'probe-{port}-{len(self.probes)}',
+            'X-Monsoonwall-Deadline-Ms': '1000',
+        }
+        try:
+            connection.request('POST', '/look/1', b'probe', headers)
+            status = connection.getresponse().status
+        except (OSError, HTTPException):
+            status = 0
+        finally:
+            connection.close()
+        self.probes.append(KeyProbe(key, revoked_at, sent_at, status))
+
+
 def _connect(connection):
     try:
         connection.connect()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -15,6 +15,13 @@
 MAX_LOST_RESPONSES = 3
 MIN_RECOVERED_SHARE = 0.25
 MAX_MEMORY_KB = 300_000
+# A revoked key must be refused this long after the store confirmed the change.
+CONFIGURATION_SECONDS = 2.0
+# Hosts keep a limit from this time after a server first named it.
+LIMIT_KNOWN_SECONDS = 3.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 # Recorded instead of the memory of a host that exited by itself.
 EXITED = -1
 
@@ -37,6 +44,26 @@
     body: bytes
 
 
+@dataclass(frozen=True)
+class KeyProbe:
+    """Status of a request that was sent with a revoked key."""
+
+    key: str
+    revoked_at: float
+    sent_at: float
+    status: int
+
+
+@dataclass(frozen=True)
+class NamedLimit:
+    """Requests per second that a server named during a span."""
+
+    server: str
+    requests_per_second: float
+    begin: float
+    end: float
+
+
 @dataclass(frozen=True)
 class Observations:
     """What was seen of one run from outside the hosts.
@@ -53,6 +80,8 @@
     recovery_seconds: float
     memory_kb: tuple[int, ...] = ()
     max_attempts: int = 2
+    key_probes: tuple[KeyProbe, ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
 
     def is_undisrupted(self, since, until):
         """Return whether no disruption affects a span.
@@ -131,7 +160,9 @@
 
 
 def _list_late_arrivals(observations, moments):
-    convicted_at = moments[:CONVICTING_CRASHES][-1]
+    if len(moments) < CONVICTING_CRASHES:
+        return []
+    convicted_at = moments[CONVICTING_CRASHES - 1]
     return [
         moment
         for moment in moments
@@ -140,6 +171,38 @@
     ]
 
 
+def check_revoked_keys(observations):
+    """Find revoked keys that are still accepted."""
+    for probe in observations.key_probes:
+        late = probe.sent_at > probe.revoked_at + CONFIGURATION_SECONDS
+        accepted = late and probe.status == 200
+        if accepted and observations.is_undisrupted(
+            probe.sent_at, probe.sent_at
+        ):
+            yield f'{probe}'
+
+
+def check_server_limits(observations):
+    """Find servers that got more requests than the limits that they named."""
+    for limit in observations.limits:
+        allowed = (
+            LIMIT_FACTOR * limit.requests_per_second * LIMIT_WINDOW_SECONDS
+            + LIMIT_SLACK
+        )
+        moments = [
+            run.moment
+            for run in observations.runs
+            if run.server == limit.server
+            and limit.begin + LIMIT_KNOWN_SECONDS <= run.moment < limit.end
+        ]
+        for begin in moments:
+            end = begin + LIMIT_WINDOW_SECONDS
+            count = sum(begin <= moment < end for moment in moments)
+            if count > allowed and observations.is_undisrupted(begin, end):
+                yield f'{limit} got {count} requests from {begin} on'
+                break
+
+
 def check_lost(observations):
     """Find requests that reached a server but got no response.
 
@@ -185,6 +248,8 @@
     'MIXED': check_mixed,
     'BUDGET, attempts': check_attempts,
     'BUDGET, crashing requests': check_crashing,
+    'CONFIG': check_revoked_keys,
+    'LIMIT': check_server_limits,
     'LOST': check_lost,
     'RECOVER': check_recovered,
     'memory': check_memory,
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -15,10 +15,13 @@
     'stop_host': 0.5,
     'reload_host': 0,
     'store_refuses': 3.0,
+    'store_falls_silent': 5.0,
     'kill_servers': 0,
     'reset_channels': 0,
     'slow_servers': 2.0,
     'configure': 0,
+    'revoke_key': 0,
+    'limit_servers': 9.0,
 }
 RARE_KINDS = ('kill_all_hosts',)
 RARE_PROBABILITY = 0.3
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,8 +11,13 @@
 
 from tests.gateway.processes import GatewayProcessCase
 from tests.gateway.test_crashing_requests import CONFIGURATION
-from tests.soak.callers import Callers
-from tests.soak.checks import EXITED, Observations, find_violations
+from tests.soak.callers import Callers, KeyProber
+from tests.soak.checks import (
+    EXITED,
+    NamedLimit,
+    Observations,
+    find_violations,
+)
 from tests.soak.plan import make_plan
 from tests.standins.crashing_servers import CrashingServers
 from tests.standins.deployment import wait_until
@@ -23,6 +28,7 @@
 SLOW_RESPONSE_SECONDS = 0.5
 INTERPRETER_START_SECONDS = 0.5
 NORMAL_RESPONSE_SECONDS = 0.02
+LIMITS = (0.5, 1.0, 4.0)
 # Faults after which hosts have to regain contact before the limits apply.
 DISRUPTIVE_KINDS = frozenset(
     (
@@ -31,6 +37,7 @@
         'pause_host',
         'stop_host',
         'store_refuses',
+        'store_falls_silent',
         'reset_channels',
     )
 )
@@ -45,13 +52,16 @@
         self.running = {}
         self.restart_locks = defaultdict(Lock)
         self.logs = None
-        self.configuration_version = 1
+        self.configuration_lock = Lock()
+        self.configuration_version = 0
+        self.probe_key = 0
+        self.limits = []
 
     def run_plan(self, seed, seconds, only=(), logs=None):
         """Run the plan of a seed; return the plan and the violations found."""
         plan = make_plan(seed, seconds, only)
         self.logs = logs
-        self.control(objects=[['config', 'main', CONFIGURATION]])
+        self.write_configuration()
         self.servers = CrashingServers(plan.servers, self.announce_server)
         self.addCleanup(self.servers.close)
         for number in range(plan.hosts):
@@ -66,16 +76,20 @@
                     )
                 )
             )
-        callers = Callers(
-            plan, [host_ports['front'] for host_ports in self.hosts.values()]
-        )
+        front_ports = [
+            host_ports['front'] for host_ports in self.hosts.values()
+        ]
+        callers = Callers(plan, front_ports)
+        self.prober = KeyProber(front_ports)
         callers.start()
+        self.prober.start()
         try:
             disruptions = self.inject_faults(plan)
             last_fault_at = time.monotonic()
             time.sleep(RECOVERY_SECONDS + MEASURED_SECONDS)
         finally:
             callers.stop()
+            self.prober.stop()
         observations = Observations(
             tuple(callers.outcomes),
             tuple(self.servers.runs),
@@ -83,6 +97,8 @@
             last_fault_at,
             RECOVERY_SECONDS,
             tuple(map(_read_memory, self.running.values())),
+            key_probes=tuple(self.prober.probes),
+            limits=tuple(self.limits),
         )
         return plan, find_violations(observations)
 
@@ -177,6 +193,11 @@
         time.sleep(fault.seconds)
         self.control(refuse=False)
 
+    def store_falls_silent(self, fault):
+        self.control(silent=True)
+        time.sleep(fault.seconds)
+        self.control(silent=False)
+
     def kill_servers(self, fault):
         self.servers.kill(1 + int(2 * fault.target))
 
@@ -189,8 +210,43 @@
         self.servers.response_seconds = NORMAL_RESPONSE_SECONDS
 
     def configure(self, _fault):
+        with self.configuration_lock:
+            self.write_configuration()
+
+    def revoke_key(self, _fault):
+        with self.configuration_lock:
+            revoked = self.make_probe_key()
+            self.probe_key += 1
+            self.write_configuration()
+            self.prober.revoke(revoked, time.monotonic())
+
+    def limit_servers(self, fault):
+        up = self.servers.list_servers_up()
+        limited = up[: 1 + int(fault.target * len(up))]
+        rate = LIMITS[int(fault.target * len(LIMITS))]
+        begin = time.monotonic()
+        for name in limited:
+            self.servers.limits[name] = rate
+        time.sleep(fault.seconds)
+        end = time.monotonic()
+        for name in limited:
+            self.servers.limits.pop(name, None)
+            self.limits.append(NamedLimit(name, rate, begin, end))
+
+    def make_probe_key(self):
+        return f'probe-{self.probe_key}'
+
+    def write_configuration(self):
         self.configuration_version += 1
-        changed = {**CONFIGURATION, 'version': self.configuration_version}
+        tenants = [
+            *CONFIGURATION['tenants'],
+            {'name': 'probe', 'api_keys': [self.make_probe_key()]},
+        ]
+        changed = {
+            **CONFIGURATION,
+            'version': self.configuration_version,
+            'tenants': tenants,
+        }
         self.control(objects=[['config', 'main', changed]])
 
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,6 +6,8 @@
 from tests.soak.checks import (
     CHECKS,
     EXITED,
+    KeyProbe,
+    NamedLimit,
     Observations,
     Outcome,
     find_violations,
@@ -67,6 +69,18 @@
             ),
         ),
     ),
+    'CONFIG': replace(
+        VALID_RUN, key_probes=(KeyProbe('probe-1', 10.0, 12.5, 200),)
+    ),
+    'LIMIT': replace(
+        VALID_RUN,
+        runs=tuple(
+            run
+            for number in range(12)
+            for run in make_runs(number, moment=20.0 + number / 10)
+        ),
+        limits=(NamedLimit('i-1', 1.0, 16.0, 40.0),),
+    ),
     'LOST': replace(
         VALID_RUN,
         outcomes=(
@@ -102,6 +116,30 @@
         observations = replace(VALID_RUN, memory_kb=(EXITED,))
         self.assertEqual(len(find_violations(observations)), 1)
 
+    def test_crashing_request_that_reached_no_server_is_valid(self):
+        """The check once raised an IndexError."""
+        observations = replace(
+            VALID_RUN,
+            outcomes=(*VALID_RUN.outcomes, *CRASHING_OUTCOMES),
+            runs=(),
+        )
+        self.assertEqual(find_violations(observations), [])
+
+    def test_key_that_is_refused_in_time_is_valid(self):
+        probes = (
+            KeyProbe('probe-1', 10.0, 11.5, 200),
+            KeyProbe('probe-1', 10.0, 12.5, 401),
+        )
+        observations = replace(VALID_RUN, key_probes=probes)
+        self.assertEqual(find_violations(observations), [])
+
+    def test_requests_before_a_limit_is_known_are_valid(self):
+        observations = replace(
+            INVALID_RUNS['LIMIT'],
+            limits=(NamedLimit('i-1', 1.0, 18.5, 40.0),),
+        )
+        self.assertEqual(find_violations(observations), [])
+
     def test_arrivals_during_a_disruption_are_allowed(self):
         observations = replace(
             INVALID_RUNS['BUDGET, crashing requests'],
--- a/tests/standins/crashing_servers.py
+++ b/tests/standins/crashing_servers.py
@@ -47,13 +47,14 @@
 
     ``runs`` lists all requests that reached a server, ``arrivals`` the
     crashing ones among them, and ``crashes`` the servers that crashed or were
-    killed.
+    killed. ``limits`` maps servers to the requests per second that they name.
     """
 
     def __init__(self, count, publish, restart_seconds=1.0, expiry_seconds=1.5):
         self.arrivals = []
         self.crashes = []
         self.runs = []
+        self.limits = {}
         self.response_seconds = 0.02
         self._publish = publish
         self._restart_seconds = restart_seconds
@@ -78,6 +79,10 @@
         """Return the number of running servers."""
         return sum(server.up for server in self._servers)
 
+    def list_servers_up(self):
+        """Return the names of the running servers."""
+        return [server.name for server in self._servers if server.up]
+
     def kill(self, count):
         """Crash some servers, whatever requests they are running."""
         self._call(self._kill(count))
@@ -145,7 +150,9 @@
             self._crash(server)
             return
         content = b'found for ' + attempt_id.encode()
-        writer.write(make_response(content, attempt_id=attempt_id))
+        limit = self.limits.get(server.name)
+        extra = f'Server-Limit: {limit}\r\n' if limit else ''
+        writer.write(make_response(content, attempt_id=attempt_id, extra=extra))
         await writer.drain()
 
     def _crash(self, server):
--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -4,6 +4,7 @@
 tests.standins.metadata_store PORT``. POST /control takes
 
 - ``refuse``: whether every call gets status 503;
+- ``silent``: whether calls get no response, also later;
 - ``objects``: objects to write, a list of kind, name and spec;
 - ``deleted``: objects to delete, a list of kind and name.
 """
@@ -189,6 +190,10 @@
     def post(self):
         body = json.decode(self.request.body)
         self.store.refuse = body.get('refuse', self.store.refuse)
+        if body.get('silent'):
+            self.store.silence(self.request.host)
+        elif 'silent' in body:
+            self.store.respond_again(self.request.host)
         for kind, name, spec in body.get('objects', ()):
             self.store.put(kind, name, spec)
         for kind, name in body.get('deleted', ()):
