Ignore limits in late responses of an earlier incarnation

The test failed before (the limit of 1 a second was gone) and passes. Ruled out: facts of earlier incarnations, which were compared already.

--- a/src/monsoonwall/gateway/server_limits.py
+++ b/src/monsoonwall/gateway/server_limits.py
@@ -121,11 +121,13 @@
         been answered before the server named it, so its response cannot raise
         or end the limit.
         """
-        known = self._find(server)
-        if known is None:
+        known = self._servers.get(server.name)
+        if known is None or known.limit.born < server.born:
             if requests_per_second is not None:
                 self._change(server, requests_per_second)
             return
+        if known.limit.born > server.born:
+            return
         current = known.limit.requests_per_second
         if requests_per_second == current:
             self._renew(server, known)
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -272,6 +272,13 @@
         self.assertFalse(self.is_limited(0, reborn))
         self.assertFalse(self.is_limited(1, reborn))
 
+    def test_late_response_of_an_earlier_incarnation_is_ignored(self):
+        """It replaced the limit of the incarnation that had followed."""
+        reborn = replace(self.server, born=6)
+        self.hosts[0].record_response(reborn, 1, sent_at=1000)
+        self.record(0, 50)
+        self.assertTrue(self.is_limited(0, reborn))
+
     def test_limit_that_lasts_is_published_again(self):
         """Hosts that start later learn it from the mesh."""
         self.record(0, 1)
