Say not_run of a busy service only if it says so

A plain service that answered an idempotent call with 429 or 503 without Retry-After counted as not having run it, so that a final refusal after the first attempt said not_run untruly (docs/operating/at-most-once.md: such a call counts as one that may have run). Idempotent calls may be retried in either case. Not looked into here: what busy responses of engines prove.

--- a/src/monsoonwall/backends/http_service.py
+++ b/src/monsoonwall/backends/http_service.py
@@ -44,11 +44,9 @@
         except CALL_ERRORS as error:
             return Failure(classify_error(error))
         if response.code in BUSY_STATUSES:
-            # A busy response with Retry-After means that the call was not
-            # started. Without it, the call may have run, which forbids a retry
-            # unless it is idempotent.
-            safe_to_retry = call.idempotent or 'Retry-After' in response.headers
-            return Failure(_make_failure(AttemptEnding.busy, not safe_to_retry))
+            # Only with Retry-After does it say that the call was not started.
+            may_have_run = 'Retry-After' not in response.headers
+            return Failure(_make_failure(AttemptEnding.busy, may_have_run))
         return Success(
             ServiceReply(
                 status=response.code,
