Add a failing test of workspace limits in wide fleets

The window holds a burst from 46 s on: 31 requests of that workspace ended in second 44, 212 in second 47.

The simulations that stand play 9 and 22 hosts that hear of each other within a second.

--- a/tests/decisions/test_allowances.py
+++ b/tests/decisions/test_allowances.py
@@ -1,6 +1,7 @@
 """Test that workspaces stay within their limits across all hosts."""
 
 import unittest
+from collections import deque
 from random import Random
 
 from hypothesis import given
@@ -95,6 +96,8 @@
 class _Fleet:
     """Simulate hosts that receive grant reports a second late."""
 
+    lag_seconds = 1
+
     def __init__(self, hosts, rate, seed=11):
         self.random = Random(seed)
         self.rate = rate
@@ -146,7 +149,7 @@
         wait = self.allowances[index].try_grant(
             units,
             self.limit,
-            OtherHosts(peer_grants, 1, 1, 1),
+            OtherHosts(peer_grants, 1, 1, self.lag_seconds),
             self.random.random(),
             now,
         )
@@ -168,6 +171,46 @@
         return largest
 
 
+class _WideFleet(_Fleet):
+    """Simulate zones that receive each other's sums three seconds late."""
+
+    lag_seconds = 3
+    zones = 4
+
+    def __init__(self, hosts, rate, seed):
+        super().__init__(hosts, rate, seed)
+        # Reports are exchanged twice a second.
+        self.history = deque(maxlen=2 * self.lag_seconds + 1)
+
+    def exchange(self, now):
+        """Deliver late sums of the other zones, and the own zone's reports."""
+        near = self.reported
+        self.reported = [
+            allowance.report(SECONDS, now) for allowance in self.allowances
+        ]
+        self.history.append(self.reported)
+        for index, records in enumerate(self.records):
+            others = {
+                str(other): {'depot': reported}
+                for other, reported in enumerate(near)
+                if self.is_same_zone(other, index) and other != index
+            }
+            for zone in range(self.zones):
+                if not self.is_same_zone(zone, index):
+                    others[f'zone/{zone}'] = {'depot': self.sum_zone(zone)}
+            records.update(others, now)
+
+    def is_same_zone(self, host, other):
+        return host % self.zones == other % self.zones
+
+    def sum_zone(self, zone):
+        reports = self.history[0][zone :: self.zones]
+        return GrantReport(
+            sum(report.granted for report in reports),
+            sum(report.demand for report in reports),
+        )
+
+
 class FleetSimulationTest(unittest.TestCase):
     """Simulate small workspaces, and surges far above the usual rate."""
 
@@ -192,6 +235,16 @@
                 allowed = fleet.window + fleet.tolerance
                 self.assertLessEqual(fleet.find_largest_window(), allowed)
 
+    def test_surge_in_a_wide_fleet_stays_within_the_tolerance(self):
+        """Zones that hear of each other late grant the same amount at once."""
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                fleet = _WideFleet(77, 258_000, seed)
+                fleet.simulate(0, 10, 0.55)
+                fleet.simulate(10, 14, 4.2)
+                allowed = fleet.window + fleet.tolerance
+                self.assertLessEqual(fleet.find_largest_window(), allowed)
+
     def test_surge_uses_most_of_the_limit(self):
         fleet = _Fleet(9, 100_000)
         fleet.simulate(0, 30, 4)
