--- a/src/monsoonwall/gateway/fleet_view.py
+++ b/src/monsoonwall/gateway/fleet_view.py
@@ -5,8 +5,7 @@
 from monsoonwall.decisions.server_limits import VisibleFleet
 from monsoonwall.mesh.peers import Peers
 
-# Number of hosts assumed until this host has met another: the larger of the
-# present sites has nine.
+# Number of hosts assumed until this host has met another.
 _ASSUMED_HOSTS: Final = 9
 
 
--- a/src/monsoonwall/gateway/server_limits.py
+++ b/src/monsoonwall/gateway/server_limits.py
@@ -140,22 +140,22 @@
 
     def can_send(self, server: BackendServer) -> bool:
         """Return whether a request may be sent to a server now."""
-        known = self._find(server)
-        if known is None or known.limit.requests_per_second is None:
+        known = self._find_limited(server)
+        if known is None:
             return True
         now = self._clock.read_monotonic()
         return known.budget.can_send(self._compute_share(server, known), now)
 
     def spend(self, server: BackendServer) -> None:
         """Count a request that is being sent to a server."""
-        known = self._find(server)
-        if known is not None and known.limit.requests_per_second is not None:
+        known = self._find_limited(server)
+        if known is not None:
             known.budget.spend()
 
     def estimate_wait(self, server: BackendServer) -> float:
         """Return the seconds until a request may be sent to a server."""
-        known = self._find(server)
-        if known is None or known.limit.requests_per_second is None:
+        known = self._find_limited(server)
+        if known is None:
             return 0
         return known.budget.estimate_wait(
             self._compute_share(server, known),
@@ -178,6 +178,13 @@
             return None
         return known
 
+    def _find_limited(self, server: BackendServer) -> _LimitedServer | None:
+        """Return the server's state if it names a limit at present."""
+        known = self._find(server)
+        if known is None or known.limit.requests_per_second is None:
+            return None
+        return known
+
     def _compute_share(
         self, server: BackendServer, known: _LimitedServer
     ) -> LimitShare:
--- a/src/monsoonwall/mesh/channels.py
+++ b/src/monsoonwall/mesh/channels.py
@@ -17,8 +17,6 @@
     ('grpc.enable_retries', 0),
     ('grpc.use_local_subchannel_pool', 1),
 )
-
-
 # Running calls on a channel that is replaced may end within this time.
 _REPLACEMENT_GRACE_SECONDS: Final = 5.0
 
--- a/src/monsoonwall/mesh/gossip.py
+++ b/src/monsoonwall/mesh/gossip.py
@@ -190,15 +190,20 @@
 
     async def _push(self, target: _Target, push: PushRequest) -> None:
         for _ in range(_PUSH_ATTEMPTS):
-            stub = MeshStub(self._channels.find(target.address))
-            _count('sent', 'push', push.ByteSize())
-            try:
-                await stub.Push(push, timeout=_CALL_TIMEOUT_SECONDS)
-            except AioRpcError as error:
-                self._record_failure(target, error)
-                if error.code() is StatusCode.DEADLINE_EXCEEDED:
-                    continue
-            return
+            status = await self._try_push(target, push)
+            if status is not StatusCode.DEADLINE_EXCEEDED:
+                return
+
+    async def _try_push(self, target: _Target, push: PushRequest) -> StatusCode:
+        """Send a push once and return the status of the call."""
+        stub = MeshStub(self._channels.find(target.address))
+        _count('sent', 'push', push.ByteSize())
+        try:
+            await stub.Push(push, timeout=_CALL_TIMEOUT_SECONDS)
+        except AioRpcError as error:
+            self._record_failure(target, error)
+            return error.code()
+        return StatusCode.OK
 
     def _record_failure(self, target: _Target, error: AioRpcError) -> None:
         MESH_MESSAGES.labels('failed', error.code().name.lower()).inc()
