--- a/src/monsoonwall/entry/mesh_node.py
+++ b/src/monsoonwall/entry/mesh_node.py
@@ -106,7 +106,7 @@
     """Own the mesh server, gossip task and channels of one host.
 
     ``board`` and ``peers`` can be used before ``start``, but records and
-    peers arrive only after it.
+    peers arrive only after it. ``channels`` replaces the gRPC channels.
     """
 
     def __init__(
@@ -114,6 +114,7 @@
         settings: MeshSettings,
         clock: Clock,
         advertised_address: str = '',
+        channels: Channels | None = None,
     ) -> None:
         own = Identity(settings.host_name, settings.zone, settings.region)
         record = HostRecord(
@@ -137,11 +138,11 @@
         self._planner = planner
         self._address = settings.mesh_address
         self._use_platform_listing = settings.platform_listing
-        self._channels = Channels()
-        self._gossip = GossipTask(
+        self._channels = channels or Channels()
+        self.gossip = GossipTask(
             Exchanger(store), planner, self._channels, clock, record
         )
-        board.connect(self._gossip, planner)
+        board.connect(self.gossip, planner)
         self.board: Board = board
         self.peers: Peers = MeshPeers(planner.roster, self._channels)
         self._server: MeshServer | None = None
@@ -158,10 +159,10 @@
         unless that is disabled in the settings.
         """
         self._server = MeshServer(
-            self._address, (self._gossip.register, *registrars)
+            self._address, (self.gossip.register, *registrars)
         )
         await self._server.start()
-        self._tasks.append(asyncio.create_task(self._gossip.run()))
+        self._tasks.append(asyncio.create_task(self.gossip.run()))
         if objects is not None and self._use_platform_listing:
             registry = SeedRegistry(
                 self._own, self._record.address, self._planner, objects
@@ -170,11 +171,11 @@
 
     async def announce_leaving(self) -> None:
         """Announce to the peers that this host accepts no new work."""
-        await self._gossip.announce_leaving(left=False)
+        await self.gossip.announce_leaving(left=False)
 
     async def stop(self) -> None:
         """Announce that this host has left, then stop."""
-        await self._gossip.announce_leaving(left=True)
+        await self.gossip.announce_leaving(left=True)
         for task in self._tasks:
             task.cancel()
         if self._server is not None:
--- a/src/monsoonwall/mesh/channels.py
+++ b/src/monsoonwall/mesh/channels.py
@@ -1,6 +1,8 @@
 """Hold the gRPC channels to the other entry hosts."""
 
 import asyncio
+from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from grpc.aio import Channel, insecure_channel
@@ -20,11 +22,16 @@
 # Running calls on a channel that is replaced may end within this time.
 _REPLACEMENT_GRACE_SECONDS: Final = 5.0
 
+_open_channel = partial(insecure_channel, options=_OPTIONS)
+
 
 class Channels:
     """Open one channel per address, and close the unused ones."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, open_channel: Callable[[str], Channel] = _open_channel
+    ) -> None:
+        self._open_channel = open_channel
         self._channels: dict[str, Channel] = {}
         self._closing: set[asyncio.Task[None]] = set()
 
@@ -32,7 +39,7 @@
         """Return the channel to an address; open it if necessary."""
         channel = self._channels.get(address)
         if channel is None:
-            channel = insecure_channel(address, options=_OPTIONS)
+            channel = self._open_channel(address)
             self._channels[address] = channel
         return channel
 
--- a/src/monsoonwall/mesh/gossip.py
+++ b/src/monsoonwall/mesh/gossip.py
@@ -209,6 +209,11 @@
         MESH_MESSAGES.labels('failed', error.code().name.lower()).inc()
         if error.code() is StatusCode.DEADLINE_EXCEEDED:
             self._channels.replace(target.address)
+            _log.info(
+                'Mesh call timed out; its channel was replaced.',
+                host=target.name,
+                address=target.address,
+            )
         if error.code() is StatusCode.UNAVAILABLE:
             self.store.membership.mark_unreachable(
                 target.name, self._clock.read_monotonic()
--- /dev/null
+++ b/tests/mesh/virtual_fleet.py
@@ -0,0 +1,129 @@
+"""Run the mesh of many hosts in one process, in simulated time.
+
+The hosts run their real gossip tasks. Their channels are replaced by ones that
+call the other host's service directly, and that can fall silent: calls on them
+then get no response and time out.
+"""
+
+import asyncio
+import selectors
+
+from grpc import StatusCode
+from grpc.aio import AioRpcError, Metadata
+
+from monsoonwall.clocks import Clock
+from monsoonwall.entry.mesh_node import MeshNode
+from monsoonwall.mesh.channels import Channels
+from monsoonwall.mesh.gossip import GossipService
+from monsoonwall.mesh.settings import MeshSettings
+
+LATENCY_SECONDS = 0.003
+
+
+class _SkippingSelector(selectors.SelectSelector):
+    """Advance the loop's time instead of waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1000.0
+
+    def select(self, timeout=None):
+        self.now += timeout or 0
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time passes only while nothing can run."""
+
+    def __init__(self):
+        self._skipping_selector = _SkippingSelector()
+        super().__init__(self._skipping_selector)
+
+    def time(self):
+        return self._skipping_selector.now
+
+
+class LoopClock(Clock):
+    """Read the time of a loop."""
+
+    def __init__(self, loop):
+        self._loop = loop
+
+    def read_monotonic(self):
+        return self._loop.time()
+
+    def read_wall(self):
+        return self._loop.time()
+
+
+class FakeChannel:
+    """Call the service of the host at an address, unless it is silent."""
+
+    def __init__(self, network, address):
+        self._network = network
+        self._address = address
+        self.silent = False
+
+    def unary_unary(self, path, **_serializers):
+        method = path.rpartition('/')[2]
+
+        async def call(request, **options):
+            if self.silent:
+                await asyncio.sleep(options['timeout'])
+                raise AioRpcError(
+                    StatusCode.DEADLINE_EXCEEDED, Metadata(), Metadata()
+                )
+            await asyncio.sleep(LATENCY_SECONDS)
+            service = self._network.services[self._address]
+            reply = await getattr(service, method)(request, None)
+            await asyncio.sleep(LATENCY_SECONDS)
+            return reply
+
+        return call
+
+    async def close(self, grace=None):
+        """Do nothing, since there is no connection."""
+
+
+class VirtualFleet:
+    """Hold the hosts of several zones and the channels between them."""
+
+    def __init__(self, zones, hosts_per_zone, loop):
+        self.services = {}
+        self.channels = []
+        self.nodes = {}
+        seeds = tuple(f'{zone}-0:1' for zone in zones)
+        for zone in zones:
+            for number in range(hosts_per_zone):
+                self._add(f'{zone}-{number}', zone, seeds, LoopClock(loop))
+
+    def open_channel(self, address, **_options):
+        channel = FakeChannel(self, address)
+        self.channels.append(channel)
+        return channel
+
+    def silence_channels(self):
+        """Let all channels that are open now fall silent."""
+        for channel in self.channels:
+            channel.silent = True
+
+    def list_uninformed(self, fact):
+        """Return the names of the hosts that do not hold a fact."""
+        return [
+            name
+            for name, node in self.nodes.items()
+            if fact not in node.board.read_facts(fact.kind)
+        ]
+
+    def _add(self, name, zone, seeds, clock):
+        settings = MeshSettings(name, zone, 'region', f'{name}:1', seeds)
+        node = MeshNode(settings, clock, channels=Channels(self.open_channel))
+        self.nodes[name] = node
+        self.services[f'{name}:1'] = GossipService(node.gossip)
+
+    def start(self):
+        """Start the gossip of all hosts; it runs until it is cancelled."""
+        self._tasks = [
+            asyncio.ensure_future(node.gossip.run())
+            for node in self.nodes.values()
+        ]
