Replace all channels that may be silent when one mesh call times out

Callers' requests reached servers that had left more than three seconds before (DRAIN). The mesh gave up a silent channel after a call of 1 s, one channel at a time: in a wide fleet a channel is used about twice in 14 s, so an update that crosses several hosts met one silent channel after the other and waited a second for each.

A call that times out now replaces every channel that has not responded since the call began.

--- a/src/monsoonwall/mesh/channels.py
+++ b/src/monsoonwall/mesh/channels.py
@@ -33,6 +33,8 @@
     ) -> None:
         self._open_channel = open_channel
         self._channels: dict[str, Channel] = {}
+        # When each channel was opened or last responded (loop time).
+        self._responded_at: dict[str, float] = {}
         self._closing: set[asyncio.Task[None]] = set()
 
     def find(self, address: str) -> Channel:
@@ -41,26 +43,47 @@
         if channel is None:
             channel = self._open_channel(address)
             self._channels[address] = channel
+            self.record_response(address)
         return channel
 
-    def replace(self, address: str) -> None:
-        """Let the next call to an address open a new channel.
+    def record_response(self, address: str) -> None:
+        """Record that a call on the channel to an address got a response."""
+        if address in self._channels:
+            now = asyncio.get_running_loop().time()
+            self._responded_at[address] = now
 
-        Call it when a call timed out: the connection may have fallen silent
-        without a reset, while new connections work.
+    def replace_silent(self, address: str, called_at: float) -> int:
+        """Replace the channels that may be silent; return their number.
+
+        Call it when a call to ``address`` that began at ``called_at`` (loop
+        time) timed out. Many connections may fall silent at once without a
+        reset, while new ones work. So the next calls open new channels to that
+        address and to all that have not responded since.
         """
-        channel = self._channels.pop(address, None)
-        if channel is None:
-            return
-        task = asyncio.ensure_future(channel.close(_REPLACEMENT_GRACE_SECONDS))
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
+        silent = {
+            other
+            for other in self._channels
+            if self._responded_at[other] < called_at
+        }
+        silent.update({address} & self._channels.keys())
+        for other in silent:
+            self._close_later(self._forget(other))
+        return len(silent)
 
     async def close_all_except(self, addresses: set[str]) -> None:
         """Close the channels to all addresses but the given ones."""
         for address in set(self._channels) - addresses:
-            await self._channels.pop(address).close()
+            await self._forget(address).close()
 
     async def close(self) -> None:
         """Close all channels."""
         await self.close_all_except(set())
+
+    def _forget(self, address: str) -> Channel:
+        self._responded_at.pop(address)
+        return self._channels.pop(address)
+
+    def _close_later(self, channel: Channel) -> None:
+        task = asyncio.ensure_future(channel.close(_REPLACEMENT_GRACE_SECONDS))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- a/src/monsoonwall/mesh/gossip.py
+++ b/src/monsoonwall/mesh/gossip.py
@@ -176,11 +176,13 @@
         stub = MeshStub(self._channels.find(target.address))
         request = self._exchanger.make_request(target.zones)
         _count('sent', 'exchange', request.ByteSize())
+        called_at = _read_loop_time()
         try:
             reply = await stub.Exchange(request, timeout=_CALL_TIMEOUT_SECONDS)
         except AioRpcError as error:
-            self._record_failure(target, error)
+            self._record_failure(target, error, called_at)
             return
+        self._channels.record_response(target.address)
         _count('received', 'reply', reply.ByteSize())
         push = self._exchanger.apply_reply(
             reply, self._clock.read_monotonic(), self._clock.read_wall()
@@ -198,21 +200,26 @@
         """Send a push once and return the status of the call."""
         stub = MeshStub(self._channels.find(target.address))
         _count('sent', 'push', push.ByteSize())
+        called_at = _read_loop_time()
         try:
             await stub.Push(push, timeout=_CALL_TIMEOUT_SECONDS)
         except AioRpcError as error:
-            self._record_failure(target, error)
+            self._record_failure(target, error, called_at)
             return error.code()
+        self._channels.record_response(target.address)
         return StatusCode.OK
 
-    def _record_failure(self, target: _Target, error: AioRpcError) -> None:
+    def _record_failure(
+        self, target: _Target, error: AioRpcError, called_at: float
+    ) -> None:
         MESH_MESSAGES.labels('failed', error.code().name.lower()).inc()
         if error.code() is StatusCode.DEADLINE_EXCEEDED:
-            self._channels.replace(target.address)
+            replaced = self._channels.replace_silent(target.address, called_at)
             _log.info(
-                'Mesh call timed out; its channel was replaced.',
+                'Mesh call timed out; silent channels are replaced.',
                 host=target.name,
                 address=target.address,
+                channels=replaced,
             )
         if error.code() is StatusCode.UNAVAILABLE:
             self.store.membership.mark_unreachable(
@@ -242,6 +249,10 @@
         )
 
 
+def _read_loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _spawn(coroutine: Coroutine[Any, Any, None]) -> Task[None]:
     return asyncio.get_running_loop().create_task(coroutine)
 
