Send the latest facts first when not all fit in a message

A host that misses a push receives the update in the regular rounds. Their replies carried the facts of all differing buckets, oldest first, up to 64,000 bytes: behind a configuration larger than that, or while all buckets keep changing, an update never arrived by the rounds.

Half of a message is now for the latest facts. The rest continues where the last message ended, so that a new host receives all.

tests.mesh.test_large_facts: two of its three tests failed before, as updates did not arrive in 1 and 10 exchanges.

--- a/src/monsoonwall/mesh/exchange.py
+++ b/src/monsoonwall/mesh/exchange.py
@@ -36,6 +36,7 @@
     ) -> None:
         self.store = store
         self._max_section_bytes = max_section_bytes
+        self._sent_older_facts = 0
 
     def make_request(self, zones: Sequence[str]) -> ExchangeRequest:
         """Return a digest of the logs of the given zones and of all facts.
@@ -163,13 +164,33 @@
     def _add_facts(
         self, records: 'list[FactRecord]', buckets: Iterable[int]
     ) -> None:
+        """Add facts of the buckets up to the size of a section.
+
+        Half of it is for the latest ones, which the receiver most likely
+        lacks. The rest continues each time where the last one ended, so that
+        all facts are sent although the buckets go on changing.
+        """
+        written = [
+            _write_fact(fact) for fact in self.store.facts.list_facts(buckets)
+        ]
         remaining_bytes = self._max_section_bytes
-        for fact in self.store.facts.list_facts(buckets):
-            record = _write_fact(fact)
-            remaining_bytes -= record.ByteSize()
-            records.append(record)
+        older = []
+        for record in written:
+            if (
+                remaining_bytes - record.ByteSize()
+                < self._max_section_bytes / 2
+            ):
+                older.append(record)
+            else:
+                remaining_bytes -= record.ByteSize()
+                records.append(record)
+        start = self._sent_older_facts % max(1, len(older))
+        for record in (*older[start:], *older[:start]):
             if remaining_bytes <= 0:
                 return
+            remaining_bytes -= record.ByteSize()
+            self._sent_older_facts += 1
+            records.append(record)
 
 
 @dataclass(frozen=True)
--- a/src/monsoonwall/mesh/facts.py
+++ b/src/monsoonwall/mesh/facts.py
@@ -28,9 +28,12 @@
     def __init__(self) -> None:
         self._kinds: dict[str, dict[str, Fact]] = {}
         self._bucket_hashes = [0 for _ in range(BUCKETS)]
-        self._facts_by_bucket: list[dict[tuple[str, str], Fact]] = [
-            {} for _ in range(BUCKETS)
+        self._keys_by_bucket: list[set[tuple[str, str]]] = [
+            set() for _ in range(BUCKETS)
         ]
+        # The position of each fact in the order of their arrival.
+        self._arrivals: dict[tuple[str, str], int] = {}
+        self._arrival_count = 0
         self._expiry: SortedSet = SortedSet()
 
     def __len__(self) -> int:
@@ -84,26 +87,31 @@
         )
 
     def list_facts(self, buckets: Iterable[int]) -> tuple[Fact, ...]:
-        """Return the facts of the given buckets."""
-        return tuple(
-            fact
+        """Return the facts of the given buckets, the latest arrivals first."""
+        keys = [
+            key
             for index in buckets
             if index < BUCKETS
-            for fact in self._facts_by_bucket[index].values()
-        )
+            for key in self._keys_by_bucket[index]
+        ]
+        keys.sort(key=self._arrivals.__getitem__, reverse=True)
+        return tuple(self._kinds[kind][key] for kind, key in keys)
 
     def _insert(self, fact: Fact) -> None:
         self._kinds.setdefault(fact.kind, {})[fact.key] = fact
         self._expiry.add((fact.expires_wall, fact.kind, fact.key))
+        self._arrival_count += 1
+        self._arrivals[fact.kind, fact.key] = self._arrival_count
         index = _choose_bucket(fact)
-        self._facts_by_bucket[index][fact.kind, fact.key] = fact
+        self._keys_by_bucket[index].add((fact.kind, fact.key))
         self._bucket_hashes[index] ^= _hash_fact(fact)
 
     def _remove(self, fact: Fact) -> None:
         self._kinds[fact.kind].pop(fact.key)
         self._expiry.discard((fact.expires_wall, fact.kind, fact.key))
         index = _choose_bucket(fact)
-        self._facts_by_bucket[index].pop((fact.kind, fact.key))
+        self._keys_by_bucket[index].discard((fact.kind, fact.key))
+        self._arrivals.pop((fact.kind, fact.key))
         self._bucket_hashes[index] ^= _hash_fact(fact)
 
 
