Let later copies of a removal not extend the use of a server

Hosts sent requests to servers that had left (DRAIN). After a failed call to the store a host goes on using a removed server for up to 2 s, in case its entry only expired. Each later copy of the removal restarted these 2 s: a listing that lacks the server carries a revision of its own, and passes from host to host.

The first removal now decides. The new test failed before.

--- a/src/monsoonwall/gateway/record_cache.py
+++ b/src/monsoonwall/gateway/record_cache.py
@@ -180,10 +180,10 @@
         )
 
     def _adopt_server(self, record: Record) -> None:
-        self._expiring.pop(record.name, None)
         if record.content is None:
             self._remove_server(record)
             return
+        self._expiring.pop(record.name, None)
         server = self._codec.decode_server(record)
         if server is None:
             self._servers.pop(record.name, None)
@@ -230,9 +230,14 @@
             lapsed=lapsed,
         )
         if lapsed and not self._servers[record.name].leaving:
-            self._expiring[record.name] = now + self._removal_delay_seconds
+            # Later copies of a removal, with the revisions of the listings
+            # that lacked the server, must not extend the delay.
+            self._expiring.setdefault(
+                record.name, now + self._removal_delay_seconds
+            )
         else:
             self._servers.pop(record.name)
+            self._expiring.pop(record.name, None)
 
     def _drop_expired(self) -> None:
         now = self._clock.read_monotonic()
--- a/tests/gateway/test_record_cache.py
+++ b/tests/gateway/test_record_cache.py
@@ -114,6 +114,18 @@
         clock.advance(DRAIN_SECONDS * 0.75)
         self.assertEqual(record_cache.list_servers('llm'), ())
 
+    def test_later_copies_of_a_removal_do_not_extend_its_delay(self):
+        """Servers that had left were used for longer than the drain time."""
+        clock = ManualClock()
+        record_cache = make_record_cache(clock)
+        record_cache.adopt(make_server('i-1', 3))
+        record_cache.mark_store_failed()
+        record_cache.adopt(make_removal('i-1', 4))
+        clock.advance(DRAIN_SECONDS / 2)
+        record_cache.adopt(make_removal('i-1', 5))
+        clock.advance(DRAIN_SECONDS / 4)
+        self.assertEqual(record_cache.list_servers('llm'), ())
+
     def test_expired_server_that_registers_again_is_kept(self):
         clock = ManualClock()
         record_cache = make_record_cache(clock)
