Let hosts that fail alone drop removed servers at once

Hosts sent requests to servers that had left (DRAIN). Both hosts of the users' record, edge-hsinchu-b-6 and edge-hsinchu-c-18, are among the nine of 74 that watch the store; their readiness probes had failed until 41.59 s and 40.95 s. A host whose call to the store fails takes removals of the next 3 s for expired entries and goes on using these servers for 2 s. A host that was slow reads a removal late, and adds the 2 s to that: confirmed at 40.567, read at 41.6 or later, used until 43.6 or later. The requests reached the servers at 43.708 and 43.838.

Removals now count as expired entries only if at least two other hosts do not reach the store either, as in an outage, in which entries do expire. The new test failed before: a host whose call was lost used a server after its removal although all other hosts reached the store.

--- a/src/monsoonwall/gateway/record_cache.py
+++ b/src/monsoonwall/gateway/record_cache.py
@@ -32,7 +32,7 @@
 # Upper bound of that delay, as a fraction of the drain time: a removed server
 # may be draining, and must get no requests once its drain time is over.
 _DRAIN_RATIO: Final = 0.7
-# For this long after a failed call, removals are treated as expired entries.
+# For this long after an outage, removals are treated as expired entries.
 _STORE_RECOVERY_SECONDS: Final = 3.0
 _MAX_LEAVING: Final = 10_000
 
@@ -94,7 +94,7 @@
         self._observers.append(observer)
 
     def mark_store_failed(self) -> None:
-        """Record that a call to the store has just failed."""
+        """Record that the store is unavailable, so that entries may expire."""
         self._store_failed_at = self._clock.read_monotonic()
 
     def list_servers(self, service: str) -> tuple[BackendServer, ...]:
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -36,6 +36,10 @@
 # responding to some hosts and go on serving the others, which must then still
 # receive changes.
 WATCHERS_PER_ZONE: Final = 3
+# The store is considered unavailable to all if this many other hosts do not
+# reach it either. A host that fails alone, such as one that was slow, may read
+# a removal long after it was confirmed.
+_OTHER_UNREACHABLE_HOSTS: Final = 2
 _REACHABILITY_KIND: Final = 'store-reach'
 _REACHABLE: Final = b'+'
 _UNREACHABLE: Final = b'-'
@@ -88,6 +92,15 @@
             self._published = payload
             self._board.publish_entry(_REACHABILITY_KIND, '', payload)
 
+    def is_store_unavailable(self) -> bool:
+        """Return whether the store seems to be unavailable to all hosts.
+
+        Call it when this host does not reach the store.
+        """
+        peers = {peer.name for peer in self._peers.list_peers()}
+        others = self.list_unreachable_hosts() & peers
+        return len(others) >= min(_OTHER_UNREACHABLE_HOSTS, len(peers))
+
     def list_unreachable_hosts(self) -> frozenset[str]:
         """Return the hosts that reported the store as unreachable."""
         return frozenset(
@@ -207,8 +220,9 @@
             _log.info('Store answers again.', kind=self._kind)
 
     async def _back_off(self, failure: StoreFailure, began: float) -> None:
-        self._record_cache.mark_store_failed()
         self._election.publish_reachability(reachable=False)
+        if self._election.is_store_unavailable():
+            self._record_cache.mark_store_failed()
         now = self._clock.read_monotonic()
         if self._reachable:
             self._reachable = False
--- a/tests/gateway/test_record_watchers.py
+++ b/tests/gateway/test_record_watchers.py
@@ -15,11 +15,19 @@
     is_chosen_watcher,
 )
 from monsoonwall.gateway.records import Listing, RecordKind, RecordSource
+from monsoonwall.mesh.peers import Peer
 from monsoonwall.platform.documents import PlatformCodec
 from monsoonwall.platform.objects import StoreFailure
 from tests.gateway.fakes import FakeBoard, NoPeers
+from tests.gateway.test_record_cache import (
+    make_record_cache,
+    make_removal,
+    make_server,
+)
 
 HOSTS = tuple(f'edge-{number}' for number in range(1, 8))
+WATCHING_HOST = next(host for host in HOSTS if is_chosen_watcher(host, HOSTS))
+OTHER_HOSTS = tuple(host for host in HOSTS if host != WATCHING_HOST)
 
 
 class ScriptedSource(RecordSource):
@@ -45,6 +53,65 @@
         return self.results.pop(0)
 
 
+class OtherHosts(NoPeers):
+    """List other hosts of the zone."""
+
+    def list_peers(self):
+        return tuple(
+            Peer(name, 'a', 'north', '127.0.0.1:1', 1, False)
+            for name in OTHER_HOSTS
+        )
+
+
+class RemovalTest(unittest.IsolatedAsyncioTestCase):
+    """Read the removal of a server after a call to the store has failed."""
+
+    async def list_servers(self, unreachable_hosts):
+        """Return the servers in use right after the removal is read."""
+        clock = SystemClock()
+        entries = {}
+        for name in unreachable_hosts:
+            board = FakeBoard(name, entries)
+            election = WatcherElection(board, NoPeers(), name, 'a')
+            election.publish_reachability(reachable=False)
+        election = WatcherElection(
+            FakeBoard(WATCHING_HOST, entries),
+            OtherHosts(),
+            WATCHING_HOST,
+            'a',
+        )
+        source = ScriptedSource(
+            [
+                Success(Listing((make_server('i-1', 7),), 7)),
+                Failure(StoreFailure.lost),
+                Success(Listing((make_removal('i-1', 8),), 8)),
+            ]
+        )
+        record_cache = make_record_cache(clock)
+        watcher = RecordWatcher(
+            RecordKind.server,
+            source,
+            record_cache,
+            clock,
+            Random(1),
+            election,
+            first_start=False,
+        )
+        watcher_task = asyncio.create_task(watcher.run())
+        await source.drained.wait()
+        watcher_task.cancel()
+        return record_cache.list_all_servers()
+
+    async def test_server_that_left_while_one_host_was_slow_is_not_used(self):
+        """A slow host went on using it for 2 s after it had read that late."""
+        self.assertEqual(await self.list_servers([]), ())
+        self.assertEqual(await self.list_servers(OTHER_HOSTS[:1]), ())
+
+    async def test_server_whose_entry_expired_in_an_outage_is_used(self):
+        servers = await self.list_servers(OTHER_HOSTS[:2])
+        self.assertEqual([server.name for server in servers], ['i-1'])
+
+
 class RecordWatcherTest(unittest.IsolatedAsyncioTestCase):
     """Run one watcher against a scripted store."""
 
