--- a/src/monsoonwall/gateway/admission.py
+++ b/src/monsoonwall/gateway/admission.py
@@ -14,6 +14,7 @@
 from monsoonwall.gateway.model import (
     CallerRequest,
     Catalogue,
+    Prompt,
     Route,
     Service,
     Workspace,
@@ -76,6 +77,7 @@
             content_key=xxh3_128_hexdigest(
                 '\0'.join(key_parts).encode() + request.body
             ),
+            part_keys=_make_part_keys(self.service.name, request.prompt),
         )
 
 
@@ -204,3 +206,12 @@
     if request.prompt is None:
         return workspace.plain_tokens
     return request.tokens
+
+
+def _make_part_keys(service: str, prompt: Prompt | None) -> tuple[str, ...]:
+    if prompt is None:
+        return ()
+    return tuple(
+        f'{service}/{prompt.model}/{part.part_id}'
+        for part in prompt.shared_parts
+    )
--- a/src/monsoonwall/gateway/model.py
+++ b/src/monsoonwall/gateway/model.py
@@ -229,13 +229,14 @@
     output_tokens: int
 
     @property
-    def shared_prefix_id(self) -> str:
-        """Return the identifier of the last shared part, or an empty string.
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts that other requests may share: all but the last."""
+        return self.parts[:-1]
 
-        All parts but the last may be shared with other requests.
-        """
-        shared = self.parts[:-1]
-        return shared[-1].part_id if shared else ''
+    @property
+    def shared_prefix_id(self) -> str:
+        """Return the identifier of the last shared part, or an empty string."""
+        return self.shared_parts[-1].part_id if self.shared_parts else ''
 
 
 @dataclass(frozen=True)
--- a/src/monsoonwall/gateway/request_state.py
+++ b/src/monsoonwall/gateway/request_state.py
@@ -140,6 +140,7 @@
                 'Sending failed.',
                 request_id=state.request_id,
                 content=state.admitted.call.content_key,
+                parts=state.admitted.call.part_keys,
                 server=server.name,
                 born=server.born,
                 ending=outcome.ending,
--- a/src/monsoonwall/pipeline/messages.py
+++ b/src/monsoonwall/pipeline/messages.py
@@ -71,6 +71,8 @@
     Plain services use ``method``, ``path`` and ``body``; model engines use
     ``prompt``, ``max_tokens`` and ``seed``. ``content_key`` is a hash of what
     the backend server runs, so a request that is sent again has the same key.
+    ``part_keys`` identify the parts of its prompt that other requests may
+    share.
     """
 
     request_id: str
@@ -89,6 +91,7 @@
     max_tokens: int = 0
     seed: int = 0
     chat: bool = False
+    part_keys: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -42,7 +42,7 @@
 }
 
 
-class CrashingRequestTest(GatewayProcessCase):
+class CrashingServersCase(GatewayProcessCase):
     """Run hosts in front of servers that some requests crash."""
 
     def setUp(self):
@@ -73,7 +73,9 @@
             )
         return hosts
 
-    def send_request(self, ports, body, path='/look/1', key='key'):
+    def send_request(
+        self, ports, body, path='/look/1', key='key', more_headers=()
+    ):
         """Send a request with a new id; return its status and body."""
         self.sent += 1
         connection = HTTPConnection('127.0.0.1', ports['front'], timeout=5)
@@ -82,6 +84,7 @@
             'Api-Key': key,
             'X-Monsoonwall-Attempt-Id': f'a{self.sent}',
             'X-Monsoonwall-Deadline-Ms': '3000',
+            **dict(more_headers),
         }
         try:
             connection.request('POST', path, body, headers)
@@ -90,6 +93,16 @@
         finally:
             connection.close()
 
+    def wait_servers_replaced(self):
+        """Wait until replacements of all crashed servers are up."""
+        self.assertTrue(
+            wait_until(lambda: self.servers.count_servers_up() == SERVERS)
+        )
+
+
+class CrashingRequestTest(CrashingServersCase):
+    """Send crashing requests again, and common ones beside them."""
+
     def send_repeatedly(self, hosts, path, seconds=SENDING_SECONDS):
         """Send a crashing request to each host in turn.
 
@@ -123,12 +136,6 @@
         for ports in hosts:
             self.assertEqual(self.send_request(ports, b'{}')[0], 200)
 
-    def wait_servers_replaced(self):
-        """Wait until replacements of all crashed servers are up."""
-        self.assertTrue(
-            wait_until(lambda: self.servers.count_servers_up() == SERVERS)
-        )
-
     def test_idempotent_crashing_request_is_blocked(self):
         self.check_request_is_blocked('/look/1')
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -125,7 +125,7 @@
 def check_mixed(observations):
     """Find successful responses that belong to another request."""
     for outcome in observations.outcomes:
-        expected = f'found for {outcome.attempt_id}'.encode()
+        expected = f'data: found for {outcome.attempt_id}\n\n'.encode()
         if outcome.status == 200 and outcome.body != expected:
             yield f'{outcome.attempt_id} got {outcome.body!r}'
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -24,7 +24,7 @@
         moment,
         moment + 0.1,
         status,
-        f'found for a{number}'.encode(),
+        f'data: found for a{number}\n\n'.encode(),
     )
 
 
@@ -54,7 +54,8 @@
         runs=make_runs(9),
     ),
     'MIXED': replace(
-        VALID_RUN, outcomes=(replace(make_outcome(1), body=b'found for a2'),)
+        VALID_RUN,
+        outcomes=(replace(make_outcome(1), body=b'data: found for a2\n\n'),),
     ),
     'BUDGET, attempts': replace(VALID_RUN, runs=make_runs(*list(range(9)) * 3)),
     'BUDGET, crashing requests': replace(
--- a/tests/standins/crashing_servers.py
+++ b/tests/standins/crashing_servers.py
@@ -149,7 +149,8 @@
             self.arrivals.append(ServerEvent(moment, server.name, attempt_id))
             self._crash(server)
             return
-        content = b'found for ' + attempt_id.encode()
+        # A complete event, so that streams can be served too.
+        content = b'data: found for %s\n\n' % attempt_id.encode()
         limit = self.limits.get(server.name)
         extra = f'Server-Limit: {limit}\r\n' if limit else ''
         writer.write(make_response(content, attempt_id=attempt_id, extra=extra))
