Refuse requests with parts of prompts that crash servers

Crashes are now also recorded by the parts of prompts that requests share, and completions clear parts. A part is convicted after three crashes in a row without a completion; the part that explains most crashes comes first, and these crashes no longer count against other parts or against requests that ran beside it. Parts that ran in just the same crashes are refused together only, so that sound requests with one of them tell which it is. A conviction is short until four servers crashed, and requests pass again bit by bit after it; then it lasts an hour and is kept in the platform's store.

--- a/src/monsoonwall/gateway/convicted_requests.py
+++ b/src/monsoonwall/gateway/convicted_requests.py
@@ -10,18 +10,21 @@
 
 from msgspec import DecodeError, ValidationError, json
 from returns.pipeline import is_successful
+from returns.result import Result
 
 from monsoonwall.decisions.crashing_requests import CrashRecord
 from monsoonwall.gateway.duties import DutyWorker, LeaseHolder
 from monsoonwall.logs import make_logger
-from monsoonwall.pipeline.screening import SuspectScreening
+from monsoonwall.pipeline.crash_records import ConvictionRecords
 from monsoonwall.platform.objects import (
     CallReason,
     ObjectStore,
+    StoredObject,
     StoreFailure,
 )
 
-_KEY: Final = 'crashing/convicted'
+CONTENTS_KEY: Final = 'crashing/convicted'
+PARTS_KEY: Final = 'crashing/convicted-parts'
 # A record takes a few hundred bytes; only the latest ones are stored.
 _MAX_RECORDS: Final = 500
 
@@ -31,9 +34,12 @@
 class ConvictedRequestStore(DutyWorker):
     """Restore the records when a lease term begins, then store new ones."""
 
-    def __init__(self, screening: SuspectScreening, store: ObjectStore) -> None:
+    def __init__(
+        self, screening: ConvictionRecords, store: ObjectStore, key: str
+    ) -> None:
         self._screening = screening
         self._store = store
+        self._key = key
         self._version: int | None = None
         self._stored: frozenset[CrashRecord] = frozenset()
 
@@ -50,7 +56,7 @@
             await self._write(records)
 
     async def _read(self) -> bool:
-        found = await self._store.read(_KEY, CallReason.status)
+        found = await self._store.read(self._key, CallReason.status)
         if is_successful(found):
             stored = found.unwrap()
             records = _decode_records(stored.content)
@@ -68,9 +74,11 @@
     async def _write(self, records: tuple[CrashRecord, ...]) -> None:
         content = json.encode(records)
         written = await (
-            self._store.update(_KEY, content, self._version, CallReason.status)
+            self._store.update(
+                self._key, content, self._version, CallReason.status
+            )
             if self._version
-            else self._store.create(_KEY, content, CallReason.status)
+            else self._store.create(self._key, content, CallReason.status)
         )
         if not is_successful(written):
             _log.warning(
@@ -83,6 +91,17 @@
         self._stored = frozenset(records)
         _log.info('Convicted requests stored.', records=len(records))
 
+    async def _store_content(
+        self, content: bytes
+    ) -> Result[StoredObject, StoreFailure]:
+        if not self._version:
+            return await self._store.create(
+                self._key, content, CallReason.status
+            )
+        return await self._store.update(
+            self._key, content, self._version, CallReason.status
+        )
+
 
 def _decode_records(content: bytes) -> tuple[CrashRecord, ...]:
     try:
--- a/src/monsoonwall/gateway/duty_task.py
+++ b/src/monsoonwall/gateway/duty_task.py
@@ -9,7 +9,11 @@
 from monsoonwall.decisions.leases import LeaseTiming, choose_candidates
 from monsoonwall.gateway.adapters import GatewayAdapters
 from monsoonwall.gateway.autoscaling import Autoscaler
-from monsoonwall.gateway.convicted_requests import ConvictedRequestStore
+from monsoonwall.gateway.convicted_requests import (
+    CONTENTS_KEY,
+    PARTS_KEY,
+    ConvictedRequestStore,
+)
 from monsoonwall.gateway.duties import DutyWorker, LeaseHolder
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.rollout_states import RolloutStateRecorder
@@ -140,8 +144,10 @@
         workers.append(reporter)
     if settings.orders_servers:
         workers.append(autoscaler)
-    workers.append(
-        ConvictedRequestStore(serving.screener.screening, adapters.objects)
+    screening = serving.screener.screening
+    workers += (
+        ConvictedRequestStore(screening, adapters.objects, CONTENTS_KEY),
+        ConvictedRequestStore(screening.parts, adapters.objects, PARTS_KEY),
     )
     return DutyTask(
         settings.host_name,
--- a/src/monsoonwall/gateway/screening.py
+++ b/src/monsoonwall/gateway/screening.py
@@ -43,6 +43,9 @@
         a time.
         """
         call = state.admitted.call
+        refusal = self.screening.parts.screen(call, state.effect)
+        if refusal is not None:
+            return refusal
         suspicion = self.screening.classify(call.content_key)
         state.suspect = suspicion is not Suspicion.none
         if suspicion is Suspicion.convicted:
--- a/src/monsoonwall/pipeline/screening.py
+++ b/src/monsoonwall/pipeline/screening.py
@@ -9,10 +9,9 @@
 from asyncio import Queue
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Final
 
 from cachetools import TTLCache
-from msgspec import DecodeError, ValidationError, msgpack
 from returns.result import Failure, Result, Success
 
 from monsoonwall.clocks import Clock
@@ -26,8 +25,13 @@
     classify_content,
 )
 from monsoonwall.logs import make_logger
-from monsoonwall.mesh.board import Board, Entry, Fact
+from monsoonwall.mesh.board import Board
 from monsoonwall.metrics import SCREENED_REQUESTS
+from monsoonwall.pipeline.crash_records import (
+    ConvictionRecords,
+    CrashRecords,
+    get_order_time,
+)
 from monsoonwall.pipeline.messages import (
     AttemptEnding,
     AttemptRecord,
@@ -36,18 +40,14 @@
     Refusal,
     RefusalReason,
 )
+from monsoonwall.pipeline.part_screening import PartScreening
 from monsoonwall.pipeline.stages import Observer, Screening
 
 CRASH_KIND: Final = 'crash'
 CLEAR_KIND: Final = 'crash_cleared'
-_KINDS: Final = (
-    (CRASH_KIND, CrashRecord),
-    (CLEAR_KIND, ClearRecord),
-)
 # A check without a result is dropped after this time. Probing a server takes
 # much less.
 _CHECK_TIMEOUT_SECONDS: Final = 3.0
-_SWEEP_SECONDS: Final = 30.0
 # A request that completed this recently is not suspected of a crash.
 _COMPLETED_SECONDS: Final = 60.0
 _MAX_COMPLETED: Final = 4096
@@ -61,72 +61,25 @@
 
     record: CrashRecord
     started_at: float
+    call: Call
 
 
-class CrashRecordTable:
-    """Cache crash records or clear records from the board; never blocks.
-
-    ``records`` maps content keys, then the keys of facts, to records.
-    """
-
-    def __init__(self, board: Board, kind: str, record_type: type) -> None:
-        self.records: dict[str, dict[str, Any]] = {}
-        self.change_count = 0
-        self._swept_wall: float = 0
-        self._decoder = msgpack.Decoder(record_type)
-        # Subscribe before reading, so that no fact is missed in between.
-        self._incoming: Queue[Entry | Fact] = board.subscribe(kind)
-        for fact in board.read_facts(kind):
-            self.merge(fact)
-
-    def refresh(self, now_wall: float) -> None:
-        """Merge received facts and drop expired records."""
-        while not self._incoming.empty():
-            self.merge(self._incoming.get_nowait())
-        if now_wall >= self._swept_wall + _SWEEP_SECONDS:
-            self._swept_wall = now_wall
-            self._drop_expired(now_wall - CONVICTION_SECONDS)
-
-    def merge(self, fact: Entry | Fact) -> None:
-        """Store a record unless a later one with the same key exists."""
-        try:
-            record = self._decoder.decode(fact.payload)
-        except (DecodeError, ValidationError) as error:
-            _log.error('Crash record is malformed.', error=str(error))
-            return
-        by_key = self.records.setdefault(record.content_key, {})
-        earlier = by_key.get(fact.key)
-        if earlier is None or _get_order_time(record) > _get_order_time(
-            earlier
-        ):
-            by_key[fact.key] = record
-            self.change_count += 1
-
-    def _drop_expired(self, before_wall: float) -> None:
-        self.records = {
-            content_key: by_key
-            for content_key, by_key in self.records.items()
-            if max(map(_get_order_time, by_key.values())) > before_wall
-        }
-
-
-class SuspectScreening(Screening, Observer):
+class SuspectScreening(Screening, Observer, ConvictionRecords):
     """Classify requests by the crash records of all hosts."""
 
     def __init__(self, board: Board, clock: Clock) -> None:
         self.crash_checks: Queue[CrashCheck] = Queue()
-        self._board = board
+        self.parts = PartScreening(board, clock)
         self._clock = clock
-        self._tables = {
-            kind: CrashRecordTable(board, kind, record_type)
-            for kind, record_type in _KINDS
-        }
+        self._records = CrashRecords(board, CRASH_KIND, CLEAR_KIND)
         self._pending_checks: dict[str, CrashCheck] = {}
         self._recently_completed: TTLCache[str, None] = TTLCache(
             _MAX_COMPLETED, _COMPLETED_SECONDS, clock.read_monotonic
         )
         self._conviction_records: tuple[CrashRecord, ...] = ()
         self._conviction_change_count = 0
+        self._unexplained = CrashHistory({}, {})
+        self._unexplained_counts: tuple[int, frozenset[str]] | None = None
 
     def screen(self, call: Call, now: float) -> Result[bool, Refusal]:
         """Return whether the call must run isolated, or the refusal."""
@@ -147,11 +100,9 @@
 
     def refuse(self, call: Call, effect: Effect) -> Refusal:
         """Return the refusal for a convicted call."""
-        by_key = self._tables[CRASH_KIND].records.get(call.content_key, {})
+        crashes = self._records.list_crashes(call.content_key)
         now_wall = self._clock.read_wall()
-        crashed_wall = max(
-            map(_get_order_time, by_key.values()), default=now_wall
-        )
+        crashed_wall = max(map(get_order_time, crashes), default=now_wall)
         remaining = crashed_wall + CONVICTION_SECONDS - now_wall
         return Refusal(
             RefusalReason.crashing_request,
@@ -169,6 +120,7 @@
                 self.crash_checks.put_nowait(crash_check)
         elif record.ending is AttemptEnding.completed:
             self._clear_suspicion(record)
+            self.parts.record_completion(record.call)
 
     def start_check(self, record: AttemptRecord) -> CrashCheck | None:
         """Return a check of an attempt that ended like a crash.
@@ -189,6 +141,7 @@
                 record.choice.isolated,
             ),
             now,
+            record.call,
         )
         self._pending_checks[content_key] = crash_check
         return crash_check
@@ -200,14 +153,15 @@
             self._pending_checks.pop(record.content_key)
         if not crashed:
             return
-        self._publish_crash(record, SUSPICION_SECONDS)
+        self._records.publish_crashes((record,), SUSPICION_SECONDS)
+        self.parts.record_crash(crash_check.call, record)
         if self.classify(record.content_key) is Suspicion.convicted:
-            by_key = self._tables[CRASH_KIND].records[record.content_key]
-            self.extend_expiry(tuple(by_key.values()))
+            self.extend_expiry(self._records.list_crashes(record.content_key))
         _log.warning(
             'Backend server crashed while running a request.',
             server=record.server,
             content_key=record.content_key,
+            parts=crash_check.call.part_keys,
             isolated=record.isolated,
         )
 
@@ -215,9 +169,7 @@
         """Return the crash records of convicted contents, earliest first."""
         now_wall = self._clock.read_wall()
         history = self._refresh_history(now_wall)
-        change_count = sum(
-            table.change_count for table in self._tables.values()
-        )
+        change_count = self._records.change_count
         if change_count != self._conviction_change_count:
             self._conviction_change_count = change_count
             self._conviction_records = tuple(
@@ -229,7 +181,7 @@
                         is Suspicion.convicted
                         for record in by_key.values()
                     ),
-                    key=_get_order_time,
+                    key=get_order_time,
                 )
             )
         return self._conviction_records
@@ -240,8 +192,7 @@
         Records of suspects are many and needed only briefly, so they are first
         published with a short expiry.
         """
-        for record in records:
-            self._publish_crash(record, CONVICTION_SECONDS)
+        self._records.publish_crashes(records, CONVICTION_SECONDS)
 
     def find_pending_crash(self, content_key: str) -> CrashRecord | None:
         """Return the crash of this content that is being checked, if any."""
@@ -256,9 +207,7 @@
         history = self._refresh_history(now_wall)
         if classify_content(history, content_key, now_wall) is Suspicion.none:
             return
-        self._publish(
-            CLEAR_KIND,
-            content_key,
+        self._records.publish_clear(
             ClearRecord(self._compute_start_wall(record, now), content_key),
             now_wall + SUSPICION_SECONDS,
         )
@@ -279,36 +228,30 @@
         return False
 
     def _refresh_history(self, now_wall: float) -> CrashHistory:
-        for table in self._tables.values():
-            table.refresh(now_wall)
-        return CrashHistory(
-            self._tables[CRASH_KIND].records, self._tables[CLEAR_KIND].records
-        )
+        """Return the records without crashes that a part of a prompt explains.
 
-    def _publish_crash(
-        self, record: CrashRecord, lifetime_seconds: float
-    ) -> None:
-        self._publish(
-            CRASH_KIND,
-            f'{record.content_key}/{record.server}',
-            record,
-            record.crashed_wall + lifetime_seconds,
-        )
-
-    def _publish(
-        self,
-        kind: str,
-        key: str,
-        record: CrashRecord | ClearRecord,
-        expires_wall: float,
-    ) -> None:
-        fact = Fact(kind, key, msgpack.encode(record), expires_wall)
-        # Merge locally, as the board may deliver the fact with a delay.
-        self._tables[kind].merge(fact)
-        self._board.publish_fact(fact)
-
-
-def _get_order_time(record: CrashRecord | ClearRecord) -> float:
-    if isinstance(record, CrashRecord):
-        return record.crashed_wall
-    return record.started_wall
+        Requests that ran beside such a part are not suspected for it.
+        """
+        history = self._records.refresh(now_wall)
+        explained = self.parts.list_explained_servers()
+        if not explained:
+            return history
+        counts = self._records.change_count, explained
+        if counts != self._unexplained_counts:
+            self._unexplained_counts = counts
+            self._unexplained = _drop_servers(history, explained)
+        return self._unexplained
+
+
+def _drop_servers(
+    history: CrashHistory, servers: frozenset[str]
+) -> CrashHistory:
+    crashes = {
+        content_key: {
+            key: record
+            for key, record in by_key.items()
+            if record.server not in servers
+        }
+        for content_key, by_key in history.crashes.items()
+    }
+    return CrashHistory(crashes, history.clears)
--- a/tests/gateway/test_convicted_requests.py
+++ b/tests/gateway/test_convicted_requests.py
@@ -4,8 +4,13 @@
 
 from monsoonwall.clocks import ManualClock
 from monsoonwall.decisions.crashing_requests import CrashRecord, Suspicion
-from monsoonwall.gateway.convicted_requests import ConvictedRequestStore
+from monsoonwall.gateway.convicted_requests import (
+    CONTENTS_KEY,
+    PARTS_KEY,
+    ConvictedRequestStore,
+)
 from monsoonwall.gateway.duties import LeaseHolder
+from monsoonwall.pipeline.part_screening import PartScreening
 from monsoonwall.pipeline.screening import SuspectScreening
 from monsoonwall.platform.objects import StoreFailure
 from tests.gateway.fakes import FakeBoard, MemoryStore
@@ -23,7 +28,9 @@
 
     def make_host(self):
         screening = SuspectScreening(FakeBoard('a'), self.clock)
-        return screening, ConvictedRequestStore(screening, self.store)
+        return screening, ConvictedRequestStore(
+            screening, self.store, CONTENTS_KEY
+        )
 
     def convict(self, screening, content='poison'):
         self.clock.advance(10)
@@ -46,6 +53,26 @@
         await next_store.step(SECOND)
         self.assertIs(next_screening.classify('poison'), Suspicion.convicted)
 
+    async def test_convicted_parts_survive_a_restart_of_all_hosts(self):
+        parts = PartScreening(FakeBoard('a'), self.clock)
+        now = self.clock.read_wall()
+        parts.extend_expiry(
+            CrashRecord(now + turn, now + turn, f's{turn}', 'bad', False)
+            for turn in range(4)
+        )
+        record_store = ConvictedRequestStore(parts, self.store, PARTS_KEY)
+        await record_store.step(FIRST)
+        await record_store.step(FIRST)
+        next_parts = PartScreening(FakeBoard('a'), self.clock)
+        next_store = ConvictedRequestStore(next_parts, self.store, PARTS_KEY)
+        self.assertEqual(next_parts.list_conviction_records(), ())
+        await next_store.step(SECOND)
+        self.assertEqual(
+            next_parts.list_conviction_records(),
+            parts.list_conviction_records(),
+        )
+        self.assertEqual(len(parts.list_conviction_records()), 4)
+
     async def test_unchanged_records_are_not_written_again(self):
         screening, record_store = self.make_host()
         now = self.clock.read_wall()
--- a/tests/gateway/test_screening.py
+++ b/tests/gateway/test_screening.py
@@ -6,6 +6,8 @@
 
 from monsoonwall.decisions.crashing_requests import CrashRecord
 from monsoonwall.gateway.engines import MoveResult
+from monsoonwall.gateway.model import Prompt, PromptPart
+from tests.gateway.fakes import RecordingCaller
 from tests.gateway.test_proxy import (
     STREAM_HEAD,
     ProxyHandlerCase,
@@ -50,6 +52,43 @@
         self.assertEqual(caller.status, 503)
         self.assertEqual(self.count_arrivals(), [0, 0])
 
+    def make_prompt(self, *part_ids):
+        parts = tuple(PromptPart(part_id, 10) for part_id in part_ids)
+        return Prompt('m', parts, 30, 10)
+
+    async def test_requests_with_a_convicted_part_are_refused(self):
+        prompt = self.make_prompt('aa', 'bad', 'own')
+        request = self.make_request('/look/1', prompt=prompt)
+        call = self.admission_check.admit(request).unwrap().call
+        for turn in range(3):
+            now = self.clock.read_wall()
+            self.screener.screening.parts.record_crash(
+                call, CrashRecord(now, now, f's{turn}', 'content', False)
+            )
+        sound = self.make_request(
+            '/look/2', prompt=self.make_prompt('aa', 'cc', 'own')
+        )
+        # Parts that ran in the same crashes are told apart by requests with
+        # some of them.
+        for server in self.servers:
+            server.responses.append([make_response(b'a')])
+        caller = RecordingCaller()
+        await self.handler.serve(sound, caller)
+        self.assertEqual(caller.status, 200)
+        caller = await self.send_request(
+            '/look/3', prompt=self.make_prompt('aa', 'bad', 'other')
+        )
+        self.assertEqual(caller.status, 503)
+        self.assertEqual(json.decode(caller.body)['error'], 'crashing_request')
+        self.assertGreater(float(caller.headers['Retry-After']), 0)
+
+    async def test_last_part_of_a_prompt_is_not_shared(self):
+        request = self.make_request(
+            '/look/1', prompt=self.make_prompt('aa', 'own')
+        )
+        call = self.admission_check.admit(request).unwrap().call
+        self.assertEqual([key[-3:] for key in call.part_keys], ['/aa'])
+
     async def test_other_callers_and_paths_are_served(self):
         self.convict('/look/1')
         # On a slow machine a request may be retried at the second server.
