Complete streams that end with their channel

Callers got whole streams as broken ones, or had them sent again, if the server sent neither a length nor chunks and ended the stream by closing the channel.

A stream without any event still counts as broken, as does a reset. The first of the three new tests failed before ('cut' instead of 'finished').

--- a/src/monsoonwall/gateway/response_writers.py
+++ b/src/monsoonwall/gateway/response_writers.py
@@ -79,6 +79,7 @@
         self._progress = progress
         self._on_start = on_start
         self._splitter = EventSplitter()
+        self._has_events = False
         self._head: Head | None = None
 
     def start(self, head: Head) -> None:
@@ -88,6 +89,7 @@
     def write(self, content: bytes) -> None:
         """Relay the new events among those that these bytes complete."""
         for event in self._splitter.feed(content):
+            self._has_events = True
             self._send_head()
             if self._progress.is_new(event.event_id):
                 self._progress.events += 1
@@ -97,7 +99,11 @@
 
     def finish(self, ending: ResponseEnding) -> bool:
         """Complete the caller's stream if the server's stream is complete."""
-        if ending is not ResponseEnding.complete or self._splitter.partial:
+        if ending is ResponseEnding.broken or self._splitter.partial:
+            return False
+        # A server that breaks off an unframed stream ends inside an event, or
+        # before the first one.
+        if ending is ResponseEnding.unframed and not self._has_events:
             return False
         self._send_head()
         self._caller.finish()
--- a/tests/gateway/test_proxy.py
+++ b/tests/gateway/test_proxy.py
@@ -45,6 +45,9 @@
     b'Content-Type: text/event-stream\r\n'
     b'X-Monsoonwall-Attempt-Id: a1\r\nX-Monsoonwall-Response-Seal: s\r\n\r\n'
 )
+UNFRAMED_STREAM_HEAD = STREAM_HEAD.replace(
+    b'Transfer-Encoding: chunked\r\n', b''
+)
 STREAM_END = b'0\r\n\r\n'
 
 
@@ -426,6 +429,27 @@
         self.assertEqual(caller.body, self.expected)
         self.assertEqual(caller.ending, 'finished')
 
+    async def test_unframed_stream_that_ends_with_its_channel_is_whole(self):
+        """Such streams were cut, or sent again, although they were whole."""
+        self.primary.responses.append(
+            [UNFRAMED_STREAM_HEAD, self.expected, 0.05, 'close']
+        )
+        caller = await self.send_request('/draft/1')
+        self.assertEqual(caller.body, self.expected)
+        self.assertEqual(caller.ending, 'finished')
+
+    async def test_unframed_stream_that_ends_inside_an_event_is_broken(self):
+        self.primary.responses.append(
+            [UNFRAMED_STREAM_HEAD, self.expected[:-1], 0.05, 'close']
+        )
+        caller = await self.send_request('/draft/1')
+        self.assertEqual(caller.ending, 'cut')
+
+    async def test_unframed_stream_without_events_is_broken(self):
+        self.primary.responses.append([UNFRAMED_STREAM_HEAD, 0.05, 'close'])
+        caller = await self.send_request('/draft/1')
+        self.assertNotEqual(caller.status, 200)
+
     async def test_stream_resumes_at_another_server(self):
         partial_event = chunk(make_event(3)[:7])
         self.primary.responses.append(
