Extend the records of a convicted part once

After each crash all records of convicted parts were published again; the board ignored the copies, but encoding and comparing them costs time for each attempt that breaks off. Found while reading the change; no figure was measured.

--- a/src/monsoonwall/pipeline/part_screening.py
+++ b/src/monsoonwall/pipeline/part_screening.py
@@ -49,6 +49,7 @@
         )
         self._convictions = PartConvictions()
         self._change_count = 0
+        self._extended: frozenset[CrashRecord] = frozenset()
 
     def screen(self, call: Call, effect: Effect) -> Refusal | None:
         """Return the refusal of a call whose prompt has convicted parts."""
@@ -80,7 +81,9 @@
             ),
             SUSPICION_SECONDS,
         )
-        self.extend_expiry(self.list_conviction_records())
+        records = frozenset(self.list_conviction_records())
+        self.extend_expiry(records - self._extended)
+        self._extended = records
 
     def record_completion(self, call: Call) -> None:
         """Clear the parts of a call that completed."""
