Keep mesh channels that were replaced while a call timed out

A call that times out on a channel that has been replaced meanwhile also dropped the new one, although it may have responded. Only channels without a response since the call began are replaced now. Found while reading the change, as was a second copy of the write of convicted requests, which is removed.

--- a/src/monsoonwall/gateway/convicted_requests.py
+++ b/src/monsoonwall/gateway/convicted_requests.py
@@ -10,7 +10,6 @@
 
 from msgspec import DecodeError, ValidationError, json
 from returns.pipeline import is_successful
-from returns.result import Result
 
 from monsoonwall.decisions.crashing_requests import CrashRecord
 from monsoonwall.gateway.duties import DutyWorker, LeaseHolder
@@ -19,7 +18,6 @@
 from monsoonwall.platform.objects import (
     CallReason,
     ObjectStore,
-    StoredObject,
     StoreFailure,
 )
 
@@ -91,17 +89,6 @@
         self._stored = frozenset(records)
         _log.info('Convicted requests stored.', records=len(records))
 
-    async def _store_content(
-        self, content: bytes
-    ) -> Result[StoredObject, StoreFailure]:
-        if not self._version:
-            return await self._store.create(
-                self._key, content, CallReason.status
-            )
-        return await self._store.update(
-            self._key, content, self._version, CallReason.status
-        )
-
 
 def _decode_records(content: bytes) -> tuple[CrashRecord, ...]:
     try:
--- a/src/monsoonwall/mesh/channels.py
+++ b/src/monsoonwall/mesh/channels.py
@@ -52,20 +52,19 @@
             now = asyncio.get_running_loop().time()
             self._responded_at[address] = now
 
-    def replace_silent(self, address: str, called_at: float) -> int:
+    def replace_silent(self, called_at: float) -> int:
         """Replace the channels that may be silent; return their number.
 
-        Call it when a call to ``address`` that began at ``called_at`` (loop
-        time) timed out. Many connections may fall silent at once without a
-        reset, while new ones work. So the next calls open new channels to that
-        address and to all that have not responded since.
+        Call it when a call that began at ``called_at`` (loop time) timed out.
+        Many connections may fall silent at once without a reset, while new
+        ones work. So the next calls open new channels where none has responded
+        since.
         """
-        silent = {
+        silent = [
             other
-            for other in self._channels
-            if self._responded_at[other] < called_at
-        }
-        silent.update({address} & self._channels.keys())
+            for other, responded_at in self._responded_at.items()
+            if responded_at <= called_at
+        ]
         for other in silent:
             self._close_later(self._forget(other))
         return len(silent)
--- a/src/monsoonwall/mesh/gossip.py
+++ b/src/monsoonwall/mesh/gossip.py
@@ -214,7 +214,7 @@
     ) -> None:
         MESH_MESSAGES.labels('failed', error.code().name.lower()).inc()
         if error.code() is StatusCode.DEADLINE_EXCEEDED:
-            replaced = self._channels.replace_silent(target.address, called_at)
+            replaced = self._channels.replace_silent(called_at)
             _log.info(
                 'Mesh call timed out; silent channels are replaced.',
                 host=target.name,
