Encode only the facts that a message carries

The reply of a round encoded all facts of the differing buckets, thousands while many servers crash, and then sent 64,000 bytes of them. Their sizes are now taken from their fields; what is sent is the same but for a few bytes. Screening of contents and of parts shares one constant. Found while reading the change; no figure was measured.

--- a/src/monsoonwall/entry/mesh_node.py
+++ b/src/monsoonwall/entry/mesh_node.py
@@ -106,7 +106,8 @@
     """Own the mesh server, gossip task and channels of one host.
 
     ``board`` and ``peers`` can be used before ``start``, but records and
-    peers arrive only after it. ``channels`` replaces the gRPC channels.
+    peers arrive only after it. ``channels`` replaces the gRPC channels, and
+    ``gossip`` serves the calls of other hosts.
     """
 
     def __init__(
--- a/src/monsoonwall/mesh/exchange.py
+++ b/src/monsoonwall/mesh/exchange.py
@@ -23,6 +23,8 @@
 
 # Limits the log deltas of a message, and its facts, to this size each.
 MAX_SECTION_BYTES: Final = 64_000
+# Tags and lengths of a fact's fields, and its expiry.
+_FACT_OVERHEAD_BYTES: Final = 20
 # A departure carries the whole log: the record that says that the host leaves
 # is the last one, and a delta cut at the usual limit would not reach it.
 MAX_DEPARTURE_BYTES: Final = 2_000_000
@@ -170,27 +172,22 @@
         lacks. The rest continues each time where the last one ended, so that
         all facts are sent although the buckets go on changing.
         """
-        written = [
-            _write_fact(fact) for fact in self.store.facts.list_facts(buckets)
-        ]
         remaining_bytes = self._max_section_bytes
         older = []
-        for record in written:
-            if (
-                remaining_bytes - record.ByteSize()
-                < self._max_section_bytes / 2
-            ):
-                older.append(record)
+        for fact in self.store.facts.list_facts(buckets):
+            size = _measure_fact(fact)
+            if remaining_bytes - size < self._max_section_bytes / 2:
+                older.append(fact)
             else:
-                remaining_bytes -= record.ByteSize()
-                records.append(record)
+                remaining_bytes -= size
+                records.append(_write_fact(fact))
         start = self._sent_older_facts % max(1, len(older))
-        for record in (*older[start:], *older[:start]):
+        for fact in (*older[start:], *older[:start]):
             if remaining_bytes <= 0:
                 return
-            remaining_bytes -= record.ByteSize()
+            remaining_bytes -= _measure_fact(fact)
             self._sent_older_facts += 1
-            records.append(record)
+            records.append(_write_fact(fact))
 
 
 @dataclass(frozen=True)
@@ -235,6 +232,16 @@
             yield _Digest(origin, sequence, heartbeat)
 
 
+def _measure_fact(fact: Fact) -> int:
+    """Return about how many bytes a fact takes, without encoding it."""
+    return (
+        len(fact.kind)
+        + len(fact.key)
+        + len(fact.payload)
+        + _FACT_OVERHEAD_BYTES
+    )
+
+
 def _write_fact(fact: Fact) -> FactRecord:
     return FactRecord(
         kind=fact.kind,
--- a/src/monsoonwall/pipeline/crash_records.py
+++ b/src/monsoonwall/pipeline/crash_records.py
@@ -16,6 +16,8 @@
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board, Entry, Fact
 
+# What completed this recently is not suspected of a crash.
+COMPLETED_SECONDS: Final = 60.0
 _SWEEP_SECONDS: Final = 30.0
 
 _log = make_logger('suspects')
--- a/src/monsoonwall/pipeline/part_screening.py
+++ b/src/monsoonwall/pipeline/part_screening.py
@@ -23,6 +23,7 @@
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board
 from monsoonwall.pipeline.crash_records import (
+    COMPLETED_SECONDS,
     ConvictionRecords,
     CrashRecords,
     get_order_time,
@@ -31,8 +32,6 @@
 
 PART_CRASH_KIND: Final = 'part_crash'
 PART_CLEAR_KIND: Final = 'part_crash_cleared'
-# A part that completed this recently is not suspected of a crash.
-_COMPLETED_SECONDS: Final = 60.0
 _MAX_COMPLETED: Final = 16_384
 
 _log = make_logger('suspects')
@@ -45,7 +44,7 @@
         self._clock = clock
         self._records = CrashRecords(board, PART_CRASH_KIND, PART_CLEAR_KIND)
         self._recently_completed: TTLCache[str, None] = TTLCache(
-            _MAX_COMPLETED, _COMPLETED_SECONDS, clock.read_monotonic
+            _MAX_COMPLETED, COMPLETED_SECONDS, clock.read_monotonic
         )
         self._convictions = PartConvictions()
         self._change_count = 0
--- a/src/monsoonwall/pipeline/screening.py
+++ b/src/monsoonwall/pipeline/screening.py
@@ -28,6 +28,7 @@
 from monsoonwall.mesh.board import Board
 from monsoonwall.metrics import SCREENED_REQUESTS
 from monsoonwall.pipeline.crash_records import (
+    COMPLETED_SECONDS,
     ConvictionRecords,
     CrashRecords,
     get_order_time,
@@ -48,8 +49,6 @@
 # A check without a result is dropped after this time. Probing a server takes
 # much less.
 _CHECK_TIMEOUT_SECONDS: Final = 3.0
-# A request that completed this recently is not suspected of a crash.
-_COMPLETED_SECONDS: Final = 60.0
 _MAX_COMPLETED: Final = 4096
 
 _log = make_logger('suspects')
@@ -74,7 +73,7 @@
         self._records = CrashRecords(board, CRASH_KIND, CLEAR_KIND)
         self._pending_checks: dict[str, CrashCheck] = {}
         self._recently_completed: TTLCache[str, None] = TTLCache(
-            _MAX_COMPLETED, _COMPLETED_SECONDS, clock.read_monotonic
+            _MAX_COMPLETED, COMPLETED_SECONDS, clock.read_monotonic
         )
         self._conviction_records: tuple[CrashRecord, ...] = ()
         self._conviction_change_count = 0
