--- /dev/null
+++ b/tests/gateway/virtual_gateways.py
@@ -0,0 +1,171 @@
+"""Run the records of many gateways against one store, in simulated time.
+
+The hosts run their real watchers, caches and gossip.
+"""
+
+import asyncio
+from random import Random
+
+from msgspec import json
+from returns.result import Failure, Success
+
+from monsoonwall.gateway.record_cache import RecordCache
+from monsoonwall.gateway.record_gossip import RecordGossip
+from monsoonwall.gateway.record_watchers import WatcherElection, make_watchers
+from monsoonwall.gateway.records import (
+    Listing,
+    Record,
+    RecordKind,
+    RecordSource,
+)
+from monsoonwall.platform.documents import PlatformCodec
+from monsoonwall.platform.objects import StoreFailure
+from tests.mesh.virtual_fleet import LoopClock, VirtualFleet
+
+SERVICE = 'llm'
+CALL_SECONDS = 0.004
+CALL_TIMEOUT_SECONDS = 1.5
+WATCH_TIMEOUT_SECONDS = 0.7
+
+
+class SimulatedStore:
+    """Hold records and their history; calls of ``silenced`` hosts time out."""
+
+    def __init__(self, loop):
+        self._loop = loop
+        self._changed = asyncio.Event()
+        self.records = {}
+        self.history = []
+        self.revision = 1
+        self.silenced = set()
+
+    def write(self, kind, name, content):
+        """Write a record; without ``content`` it is removed."""
+        self.revision += 1
+        record = Record(kind, name, self.revision, content)
+        self.history.append(record)
+        if content is None:
+            self.records.pop((kind, name))
+        else:
+            self.records[kind, name] = record
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def write_server(self, name, state='ready', born=1):
+        """Write the entry of a server."""
+        spec = {
+            'service': SERVICE,
+            'address': '10.0.0.1:80',
+            'zone': 'zone-a',
+            'state': state,
+            'slots': 4,
+            'born': born,
+        }
+        self.write(RecordKind.server, name, json.encode(spec))
+
+    def remove_server(self, name):
+        """Remove the entry of a server."""
+        self.write(RecordKind.server, name, None)
+
+    def list_changes(self, kind, after):
+        """Return the changes of a kind after a revision."""
+        return tuple(
+            record
+            for record in self.history
+            if record.kind is kind and record.revision > after
+        )
+
+    async def wait_change(self, deadline):
+        """Wait for the next change of any record, or for the deadline."""
+        remaining_seconds = max(0, deadline - self._loop.time())
+        try:
+            async with asyncio.timeout(remaining_seconds):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+
+class SimulatedSource(RecordSource):
+    """Call the simulated store from one host."""
+
+    def __init__(self, store, host, loop):
+        self._store = store
+        self._host = host
+        self._loop = loop
+
+    async def list_records(self, kind, current):
+        await asyncio.sleep(CALL_SECONDS)
+        if self._host in self._store.silenced:
+            await asyncio.sleep(CALL_TIMEOUT_SECONDS)
+            return Failure(StoreFailure.lost)
+        return Success(
+            Listing(
+                tuple(
+                    record
+                    for record in self._store.records.values()
+                    if record.kind is kind
+                ),
+                self._store.revision,
+            )
+        )
+
+    async def watch_records(self, kind, after, deadline):
+        await asyncio.sleep(CALL_SECONDS)
+        silenced = self._host in self._store.silenced
+        while not silenced:
+            changes = self._store.list_changes(kind, after)
+            if changes or self._loop.time() >= deadline:
+                return Success(Listing(changes, self._store.revision))
+            await self._store.wait_change(deadline)
+            silenced = self._host in self._store.silenced
+        timeout_at = deadline + WATCH_TIMEOUT_SECONDS
+        await asyncio.sleep(max(0, timeout_at - self._loop.time()))
+        return Failure(StoreFailure.lost)
+
+
+class VirtualGateways:
+    """Hold a fleet whose hosts read the records of a simulated store."""
+
+    def __init__(self, zones, hosts_per_zone, loop, drain_seconds):
+        self.store = SimulatedStore(loop)
+        self.fleet = VirtualFleet(zones, hosts_per_zone, loop)
+        self.caches = {}
+        self._coroutines = []
+        for name, node in self.fleet.nodes.items():
+            self._add(name, node, LoopClock(loop), drain_seconds)
+
+    def _add(self, name, node, clock, drain_seconds):
+        cache = RecordCache(PlatformCodec(), clock, drain_seconds)
+        random = Random(name)
+        election = WatcherElection(
+            node.board, node.peers, name, name.rpartition('-')[0]
+        )
+        watchers = make_watchers(
+            SimulatedSource(self.store, name, clock.loop),
+            cache,
+            clock,
+            random,
+            election,
+            first_start=False,
+        )
+        gossip = RecordGossip(node.board, cache, clock, random)
+        self._coroutines += (gossip.run, *(watcher.run for watcher in watchers))
+        self.caches[name] = cache
+
+    def start(self):
+        """Start all hosts; they run until they are cancelled."""
+        self.fleet.start()
+        self._tasks = [
+            asyncio.ensure_future(coroutine()) for coroutine in self._coroutines
+        ]
+
+    def list_users(self, server):
+        """Return the hosts that may send requests to a server."""
+        return [
+            name
+            for name, cache in self.caches.items()
+            if any(
+                known.name == server and not known.leaving
+                for known in cache.list_servers(SERVICE)
+            )
+        ]
--- a/tests/mesh/test_silent_channels.py
+++ b/tests/mesh/test_silent_channels.py
@@ -4,7 +4,7 @@
 import unittest
 
 from monsoonwall.mesh.board import Fact
-from tests.mesh.virtual_fleet import VirtualFleet, VirtualLoop
+from tests.mesh.virtual_fleet import VirtualFleet, VirtualLoop, close_loop
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 HOSTS_PER_ZONE = 25
@@ -24,6 +24,7 @@
 
     def setUp(self):
         self.loop = VirtualLoop()
+        self.addCleanup(close_loop, self.loop)
         self.fleet = VirtualFleet(ZONES, HOSTS_PER_ZONE, self.loop)
         self.watchers = [
             self.fleet.nodes[f'{zone}-{number}']
@@ -31,15 +32,6 @@
             for number in range(WATCHERS_PER_ZONE)
         ]
 
-    def tearDown(self):
-        tasks = asyncio.all_tasks(self.loop)
-        for task in tasks:
-            task.cancel()
-        self.loop.run_until_complete(
-            asyncio.gather(*tasks, return_exceptions=True)
-        )
-        self.loop.close()
-
     async def list_late_hosts(self, delay_seconds):
         """Return the hosts that do not know a departure in time.
 
--- a/tests/mesh/virtual_fleet.py
+++ b/tests/mesh/virtual_fleet.py
@@ -43,17 +43,26 @@
         return self._skipping_selector.now
 
 
+def close_loop(loop):
+    """Cancel the tasks of a loop and close it."""
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    loop.close()
+
+
 class LoopClock(Clock):
     """Read the time of a loop."""
 
     def __init__(self, loop):
-        self._loop = loop
+        self.loop = loop
 
     def read_monotonic(self):
-        return self._loop.time()
+        return self.loop.time()
 
     def read_wall(self):
-        return self._loop.time()
+        return self.loop.time()
 
 
 class FakeChannel:
