Hold removals of server entries only where they were read after an outage

Callers' requests went to servers that had left: hosts that the store ignored used a server for 2 s after the removal of its entry had reached them over the mesh (DRAIN).

Cause: each host judged by itself, when a removal reached it, whether the entry might have expired in an outage: its own calls failed and two other hosts reported the same. With a store that ignores a part of the hosts that is true on each of them while the others read the store.

Now the watcher that reads a removal judges it, by the store's responses to it: after a gap between two responses in which entries can expire (2.4 s, two of three pings), if it and two others failed meanwhile, and for 1.5 s after the first response. It holds the removal and does not report it. A removal that another host reports is confirmed and takes effect at once. The delay is no longer added to that of the mesh.

The test of an expired entry lets time pass in the failed call, as an outage does, which it did not before; a new one checks that a shorter one holds nothing. Checks of the cache are kept with the new argument, and three are added.

--- a/src/monsoonwall/gateway/record_cache.py
+++ b/src/monsoonwall/gateway/record_cache.py
@@ -7,7 +7,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Final
 
 from monsoonwall.clocks import Clock
@@ -32,8 +32,6 @@
 # Upper bound of that delay, as a fraction of the drain time: a removed server
 # may be draining, and must get no requests once its drain time is over.
 _DRAIN_RATIO: Final = 0.7
-# For this long after an outage, removals are treated as expired entries.
-_STORE_RECOVERY_SECONDS: Final = 3.0
 _MAX_LEAVING: Final = 10_000
 
 _log = make_logger('knowledge')
@@ -68,6 +66,14 @@
         return replace(server, leaving=True)
 
 
+@dataclass(frozen=True)
+class _HeldRemoval:
+    """A removal that takes effect at a time in monotonic seconds."""
+
+    record: Record
+    effective_at: float
+
+
 class RecordCache:
     """Keep the latest revision of each record and its decoded content."""
 
@@ -81,10 +87,10 @@
         )
         self._records: dict[tuple[RecordKind, str], Record] = {}
         self._servers: dict[str, BackendServer] = {}
-        # When servers whose entries have expired are removed.
-        self._expiring: dict[str, float] = {}
+        # Removals of entries that may have expired. Only the host that has read
+        # such a removal holds it: other hosts learn of it once it has effect.
+        self._held_removals: dict[str, _HeldRemoval] = {}
         self._leaving = _LeavingIncarnations()
-        self._store_failed_at = float('-inf')
         self._observers: list[Observer] = []
         self.catalogue: Catalogue | None = None
         self._rollouts: dict[str, Rollout] = {}
@@ -93,13 +99,9 @@
         """Register a callback for every record that is adopted or changed."""
         self._observers.append(observer)
 
-    def mark_store_failed(self) -> None:
-        """Record that the store is unavailable, so that entries may expire."""
-        self._store_failed_at = self._clock.read_monotonic()
-
     def list_servers(self, service: str) -> tuple[BackendServer, ...]:
         """Return the servers of a service, leaving ones included."""
-        self._drop_expired()
+        self._apply_held_removals()
         return tuple(
             server
             for server in self._servers.values()
@@ -108,7 +110,7 @@
 
     def list_all_servers(self) -> tuple[BackendServer, ...]:
         """Return all servers of all services."""
-        self._drop_expired()
+        self._apply_held_removals()
         return tuple(self._servers.values())
 
     def find_server(self, name: str) -> BackendServer | None:
@@ -140,21 +142,30 @@
             record for record in self._records.values() if record.kind is kind
         )
 
-    def adopt_listing(self, kind: RecordKind, listing: Listing) -> None:
+    def adopt_listing(
+        self, kind: RecordKind, listing: Listing, after_outage: bool = False
+    ) -> None:
         """Adopt a complete listing; older records not in it are removed."""
         listed = {record.name for record in listing.records}
         for record in listing.records:
             self.adopt(record)
         for known in self.list_records(kind):
             if known.name not in listed and known.content is not None:
-                self.adopt(Record(kind, known.name, listing.revision, None))
+                removal = Record(kind, known.name, listing.revision, None)
+                self.adopt(removal, after_outage)
 
-    def adopt(self, record: Record) -> bool:
-        """Store a record if it is newer; return whether it was stored."""
+    def adopt(self, record: Record, after_outage: bool = False) -> bool:
+        """Store a record if it is newer; return whether it was stored.
+
+        A server's removal that was read right after an outage of the store is
+        held, since the entry may have expired during the outage.
+        """
         key = (record.kind, record.name)
         known = self._records.get(key)
         if known is not None and known.revision >= record.revision:
             return False
+        if after_outage and self._hold_removal(record):
+            return False
         self._records[key] = record
         GATEWAY_REVISION.labels(record.kind).set(record.revision)
         if record.kind is RecordKind.catalogue:
@@ -183,7 +194,9 @@
         if record.content is None:
             self._remove_server(record)
             return
-        self._expiring.pop(record.name, None)
+        held = self._held_removals.get(record.name)
+        if held is not None and held.record.revision < record.revision:
+            self._held_removals.pop(record.name)
         server = self._codec.decode_server(record)
         if server is None:
             self._servers.pop(record.name, None)
@@ -219,32 +232,39 @@
         )
 
     def _remove_server(self, record: Record) -> None:
-        if record.name not in self._servers:
-            return
-        now = self._clock.read_monotonic()
-        lapsed = now < self._store_failed_at + _STORE_RECOVERY_SECONDS
-        _log.info(
-            'Server entry removed.',
-            server=record.name,
-            revision=record.revision,
-            lapsed=lapsed,
-        )
-        if lapsed and not self._servers[record.name].leaving:
-            # Later copies of a removal, with the revisions of the listings
-            # that lacked the server, must not extend the delay.
-            self._expiring.setdefault(
-                record.name, now + self._removal_delay_seconds
+        self._held_removals.pop(record.name, None)
+        if self._servers.pop(record.name, None) is not None:
+            _log.info(
+                'Server entry removed.',
+                server=record.name,
+                revision=record.revision,
             )
-        else:
-            self._servers.pop(record.name)
-            self._expiring.pop(record.name, None)
 
-    def _drop_expired(self) -> None:
+    def _hold_removal(self, record: Record) -> bool:
+        """Hold a removal if it may be that of a live server."""
+        server = self._servers.get(record.name)
+        if record.content is not None or server is None or server.leaving:
+            return False
+        # Later copies of a removal, with the revisions of the listings that
+        # lacked the server, must not extend the delay.
+        if record.name not in self._held_removals:
+            self._held_removals[record.name] = _HeldRemoval(
+                record,
+                self._clock.read_monotonic() + self._removal_delay_seconds,
+            )
+            _log.info(
+                'Removal of a server entry held.',
+                server=record.name,
+                revision=record.revision,
+            )
+        return True
+
+    def _apply_held_removals(self) -> None:
         now = self._clock.read_monotonic()
-        expired = [
-            name for name, until in self._expiring.items() if until <= now
+        due = [
+            held.record
+            for held in self._held_removals.values()
+            if held.effective_at <= now
         ]
-        for name in expired:
-            self._expiring.pop(name)
-            self._servers.pop(name, None)
-            _log.info('Expired server entry dropped.', server=name)
+        for record in due:
+            self.adopt(record)
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -40,6 +40,12 @@
 # reach it either. A host that fails alone, such as one that was slow, may read
 # a removal long after it was confirmed.
 _OTHER_UNREACHABLE_HOSTS: Final = 2
+# Server entries expire when three pings in a row are missed. An outage that
+# lies between two responses with a shorter gap cannot have caused that.
+_MIN_OUTAGE_SECONDS: Final = 2.4
+# For this long after an outage, removals may be those of expired entries.
+# Ends before the store counts as stable again and its removals are binding.
+_RECOVERY_SECONDS: Final = 1.5
 _REACHABILITY_KIND: Final = 'store-reach'
 _REACHABLE: Final = b'+'
 _UNREACHABLE: Final = b'-'
@@ -110,6 +116,33 @@
         )
 
 
+class OutageDetector:
+    """Tell whether removals may be those of entries expired in an outage."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._responded_at = float('-inf')
+        self._suspected = False
+        self._recovery_ends_at = float('-inf')
+
+    @property
+    def recovering(self) -> bool:
+        """Return whether an outage has ended just before."""
+        return self._clock.read_monotonic() < self._recovery_ends_at
+
+    def suspect(self) -> None:
+        """Record that the store seems to be unavailable to all hosts."""
+        self._suspected = True
+
+    def record_response(self) -> None:
+        """Record a response of the store."""
+        now = self._clock.read_monotonic()
+        if self._suspected and now - self._responded_at > _MIN_OUTAGE_SECONDS:
+            self._recovery_ends_at = now + _RECOVERY_SECONDS
+        self._suspected = False
+        self._responded_at = now
+
+
 class RecordWatcher:
     """List and then watch one kind of record.
 
@@ -135,6 +168,7 @@
         self._needs_current = not first_start
         self._backoff = Backoff(_MIN_BACKOFF_SECONDS, _MAX_BACKOFF_SECONDS)
         self._revision: int | None = None
+        self._outages = OutageDetector(clock)
         self._reachable = True
         self._watching = False
 
@@ -184,7 +218,10 @@
         if not is_successful(listed):
             return listed.failure()
         listing = listed.unwrap()
-        self._record_cache.adopt_listing(self._kind, listing)
+        self._outages.record_response()
+        self._record_cache.adopt_listing(
+            self._kind, listing, self._outages.recovering
+        )
         self._revision = listing.revision
         self._needs_current = True
         return None
@@ -200,8 +237,9 @@
         if not is_successful(watched):
             return watched.failure()
         changes = watched.unwrap()
+        self._outages.record_response()
         for record in changes.records:
-            self._record_cache.adopt(record)
+            self._record_cache.adopt(record, self._outages.recovering)
         self._revision = max(self._revision or 0, changes.revision)
         if changes.records:
             # Servers often start and stop in groups. Waiting collects their
@@ -222,7 +260,7 @@
     async def _back_off(self, failure: StoreFailure, began: float) -> None:
         self._election.publish_reachability(reachable=False)
         if self._election.is_store_unavailable():
-            self._record_cache.mark_store_failed()
+            self._outages.suspect()
         now = self._clock.read_monotonic()
         if self._reachable:
             self._reachable = False
--- a/tests/gateway/test_record_cache.py
+++ b/tests/gateway/test_record_cache.py
@@ -108,8 +108,7 @@
         clock = ManualClock()
         record_cache = make_record_cache(clock)
         record_cache.adopt(make_server('i-1', 3))
-        record_cache.mark_store_failed()
-        record_cache.adopt(make_removal('i-1', 4))
+        record_cache.adopt(make_removal('i-1', 4), after_outage=True)
         self.assertEqual(len(record_cache.list_servers('llm')), 1)
         clock.advance(DRAIN_SECONDS * 0.75)
         self.assertEqual(record_cache.list_servers('llm'), ())
@@ -119,10 +118,9 @@
         clock = ManualClock()
         record_cache = make_record_cache(clock)
         record_cache.adopt(make_server('i-1', 3))
-        record_cache.mark_store_failed()
-        record_cache.adopt(make_removal('i-1', 4))
+        record_cache.adopt(make_removal('i-1', 4), after_outage=True)
         clock.advance(DRAIN_SECONDS / 2)
-        record_cache.adopt(make_removal('i-1', 5))
+        record_cache.adopt(make_removal('i-1', 5), after_outage=True)
         clock.advance(DRAIN_SECONDS / 4)
         self.assertEqual(record_cache.list_servers('llm'), ())
 
@@ -130,13 +128,41 @@
         clock = ManualClock()
         record_cache = make_record_cache(clock)
         record_cache.adopt(make_server('i-1', 3))
-        record_cache.mark_store_failed()
-        record_cache.adopt(make_removal('i-1', 4))
+        record_cache.adopt(make_removal('i-1', 4), after_outage=True)
         clock.advance(1)
         record_cache.adopt(make_server('i-1', 5))
         clock.advance(5)
         self.assertEqual(len(record_cache.list_servers('llm')), 1)
 
+    def test_removal_that_another_host_reports_is_not_held(self):
+        """A host that the store ignored used a server that had left for 2 s."""
+        record_cache = make_record_cache()
+        record_cache.adopt(make_server('i-1', 3))
+        record_cache.adopt(make_removal('i-1', 7), after_outage=True)
+        record_cache.adopt(make_removal('i-1', 4))
+        self.assertEqual(record_cache.list_servers('llm'), ())
+
+    def test_held_removal_is_reported_once_it_has_effect(self):
+        clock = ManualClock()
+        record_cache = make_record_cache(clock)
+        record_cache.adopt(make_server('i-1', 3))
+        reported = []
+        record_cache.subscribe(reported.append)
+        record_cache.adopt(make_removal('i-1', 4), after_outage=True)
+        self.assertEqual(reported, [])
+        clock.advance(DRAIN_SECONDS)
+        record_cache.list_all_servers()
+        self.assertEqual(reported, [make_removal('i-1', 4)])
+
+    def test_entry_older_than_a_held_removal_does_not_cancel_it(self):
+        clock = ManualClock()
+        record_cache = make_record_cache(clock)
+        record_cache.adopt(make_server('i-1', 3))
+        record_cache.adopt(make_removal('i-1', 6), after_outage=True)
+        record_cache.adopt(make_server('i-1', 5))
+        clock.advance(DRAIN_SECONDS)
+        self.assertEqual(record_cache.list_servers('llm'), ())
+
     def test_removed_server_is_gone_at_once_while_the_store_answers(self):
         record_cache = make_record_cache()
         record_cache.adopt(make_server('i-1', 3))
--- a/tests/gateway/test_record_watchers.py
+++ b/tests/gateway/test_record_watchers.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Success
 
-from monsoonwall.clocks import SystemClock
+from monsoonwall.clocks import ManualClock, SystemClock
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_watchers import (
     WATCHERS_PER_ZONE,
@@ -28,13 +28,20 @@
 HOSTS = tuple(f'edge-{number}' for number in range(1, 8))
 WATCHING_HOST = next(host for host in HOSTS if is_chosen_watcher(host, HOSTS))
 OTHER_HOSTS = tuple(host for host in HOSTS if host != WATCHING_HOST)
+# Servers ping the store this often, and three missed pings expire their entry.
+PING_SECONDS = 1.2
+OUTAGE_SECONDS = 4 * PING_SECONDS
 
 
 class ScriptedSource(RecordSource):
-    """Return given results in turn, and record the calls."""
+    """Return given results in turn, and record the calls.
 
-    def __init__(self, results):
+    A number among the results is how long the next call takes.
+    """
+
+    def __init__(self, results, clock=None):
         self.results = results
+        self.clock = clock
         self.calls = []
         self.drained = asyncio.Event()
 
@@ -50,6 +57,8 @@
         if not self.results:
             self.drained.set()
             await asyncio.sleep(3600)
+        if isinstance(self.results[0], float):
+            self.clock.advance(self.results.pop(0))
         return self.results.pop(0)
 
 
@@ -66,9 +75,12 @@
 class RemovalTest(unittest.IsolatedAsyncioTestCase):
     """Read the removal of a server after a call to the store has failed."""
 
-    async def list_servers(self, unreachable_hosts):
-        """Return the servers in use right after the removal is read."""
-        clock = SystemClock()
+    async def list_servers(self, unreachable_hosts, seconds=OUTAGE_SECONDS):
+        """Return the servers in use right after the removal is read.
+
+        The failed call takes that many seconds.
+        """
+        clock = ManualClock()
         entries = {}
         for name in unreachable_hosts:
             board = FakeBoard(name, entries)
@@ -83,9 +95,11 @@
         source = ScriptedSource(
             [
                 Success(Listing((make_server('i-1', 7),), 7)),
+                seconds,
                 Failure(StoreFailure.lost),
                 Success(Listing((make_removal('i-1', 8),), 8)),
-            ]
+            ],
+            clock,
         )
         record_cache = make_record_cache(clock)
         watcher = RecordWatcher(
@@ -111,6 +125,13 @@
         servers = await self.list_servers(OTHER_HOSTS[:2])
         self.assertEqual([server.name for server in servers], ['i-1'])
 
+    async def test_outage_too_short_for_entries_to_expire_holds_no_removal(
+        self,
+    ):
+        """Hosts took removals for expired entries after any failed call."""
+        servers = await self.list_servers(OTHER_HOSTS[:2], PING_SECONDS)
+        self.assertEqual(servers, ())
+
 
 class RecordWatcherTest(unittest.IsolatedAsyncioTestCase):
     """Run one watcher against a scripted store."""
