--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import sys
+from copy import deepcopy
 
 from msgspec import json
 from tornado.httpserver import HTTPServer
@@ -33,6 +34,22 @@
         self.lose_responses = False
         self.silent_addresses = set()
         self.calls = 0
+        self.era = 0
+        self.changed = asyncio.Event()
+
+    def copy(self):
+        """Return a copy of the content, to restore it later."""
+        return self.revision, deepcopy(self.objects)
+
+    def restore(self, content):
+        """Return with the content of an older copy."""
+        self.era += 1
+        revision, objects = content
+        self.revision = revision
+        self.objects = deepcopy(objects)
+        self.compacted_revision = self.revision
+        self.events.clear()
+        self.changed.set()
         self.changed = asyncio.Event()
 
     def silence(self, address):
@@ -87,6 +104,7 @@
 
     async def prepare(self):
         self.store.calls += 1
+        self.set_header('Store-Era', str(self.store.era))
         await self.wait_if_silent()
         if self.store.refuse:
             self.set_status(503)
@@ -123,20 +141,27 @@
         )
 
     async def _watch(self, kind, after):
-        if after < self.store.compacted_revision:
+        if not self.store.compacted_revision <= after <= self.store.revision:
             self.respond({}, status=410)
             return
+        era = self.store.era
         seconds = int(self.get_query_argument('wait_ms', '0')) / 1000
         try:
             async with asyncio.timeout(seconds):
-                while not self.store.list_events(kind, after):
+                while not self._has_news(kind, after, era):
                     await self.store.changed.wait()
         except TimeoutError:
             pass
         await self.wait_if_silent()
+        if self.store.era != era:
+            self.request.connection.stream.close()
+            return
         events = self.store.list_events(kind, after)
         self.respond({'events': events, 'at': self.store.revision})
 
+    def _has_news(self, kind, after, era):
+        return self.store.era != era or self.store.list_events(kind, after)
+
     def post(self, kind):
         body = json.decode(self.request.body)
         name = body['metadata']['name']
