Order records by the store's era, and configurations by their version

Cause: revisions of two eras were compared as one series, in the cache, in the payloads that hosts exchange, and in the watch. Class: an order taken from a counter that another system may reset.

Now a record's position is the pair of era (the header Store-Era) and revision. It is made where the store's responses are read, travels between hosts, and is compared in the cache. A response of another era than the watch's makes the host list again. Conditional writes carry the era in the object's version: one that rests on an earlier era is not sent, one that meets a new era counts as lost.

The order of encoded records is checked over all their fields.

The state of servers moves to a module of its own. Records are exchanged under a new kind of fact, which hosts of earlier builds do not read.

--- a/src/monsoonwall/gateway/departures.py
+++ b/src/monsoonwall/gateway/departures.py
@@ -28,11 +28,19 @@
         self._record_cache = record_cache
         self._clock = clock
         self._arrivals = board.subscribe(DEPARTURE_KIND)
+        record_cache.subscribe_departures(self._publish)
 
     def publish_departure(self, server: BackendServer) -> None:
         """Mark a server as leaving, and publish this if it is new."""
-        if not self._record_cache.mark_leaving(server.name, server.born):
-            return
+        if self._record_cache.mark_leaving(server.name, server.born):
+            self._publish(server)
+
+    async def run(self) -> None:
+        """Apply the departures that other hosts publish, until cancelled."""
+        while True:
+            self._apply(await self._arrivals.get())
+
+    def _publish(self, server: BackendServer) -> None:
         self._board.publish_fact(
             Fact(
                 DEPARTURE_KIND,
@@ -42,11 +50,6 @@
             )
         )
 
-    async def run(self) -> None:
-        """Apply the departures that other hosts publish, until cancelled."""
-        while True:
-            self._apply(await self._arrivals.get())
-
     def _apply(self, received: Entry | Fact) -> None:
         if isinstance(received, Fact):
             born = int.from_bytes(received.payload, 'big')
--- a/src/monsoonwall/gateway/model.py
+++ b/src/monsoonwall/gateway/model.py
@@ -199,7 +199,8 @@
     """An operator's order to roll out a version of a service.
 
     It has to end within ``seconds``. ``order`` identifies this order among
-    those of the service; ``state`` is the last recorded one.
+    those of the service; ``state`` is the last recorded one. ``revision`` and
+    ``era`` are those of its record.
     """
 
     name: str
@@ -209,6 +210,7 @@
     order: str
     revision: int
     state: RolloutState | None = None
+    era: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/monsoonwall/gateway/record_cache.py
+++ b/src/monsoonwall/gateway/record_cache.py
@@ -1,14 +1,21 @@
 """Cache the configuration, the servers and the roll-outs on this host.
 
 Records arrive from the platform's store and from other hosts, in any order and
-possibly more than once. The cache keeps the highest revision of each record,
-so an outdated record never replaces a newer one.
+possibly more than once. The cache keeps the latest of each record, so an
+outdated record never replaces a newer one.
+
+The store may return from an older copy of its content, which begins a new era.
+Records of the new era replace earlier ones, with these exceptions, until they
+are written again:
+
+- a configuration is kept until one with a higher version arrives;
+- an entry of the copy for a server that had left is marked as leaving;
+- servers that the copy lacks are kept while they register again;
+- roll-outs that the copy lacks, or has an earlier order for, are kept.
 """
 
-from collections import OrderedDict
-from collections.abc import Callable
-from dataclasses import dataclass, replace
-from typing import Final
+from collections.abc import Callable, Container
+from dataclasses import replace
 
 from monsoonwall.clocks import Clock
 from monsoonwall.gateway.model import (
@@ -22,75 +29,27 @@
     RecordCodec,
     RecordKind,
 )
+from monsoonwall.gateway.server_entries import (
+    DepartureObserver,
+    ServerEntries,
+)
 from monsoonwall.logs import make_logger
 from monsoonwall.metrics import GATEWAY_REVISION
 
-# Server entries expire while the store is down. A running server registers
-# again within two seconds of the store's return, so its removal is delayed by
-# as much.
-_REMOVAL_DELAY_SECONDS: Final = 2.0
-# Upper bound of that delay, as a fraction of the drain time: a removed server
-# may be draining, and must get no requests once its drain time is over.
-_DRAIN_RATIO: Final = 0.7
-_MAX_LEAVING: Final = 10_000
-
 _log = make_logger('knowledge')
 
 Observer = Callable[[Record], None]
 
 
-class _LeavingIncarnations:
-    """Incarnations of servers that announced that they are leaving.
-
-    Keeps the latest incarnation of each of the last ``_MAX_LEAVING`` servers.
-    """
-
-    def __init__(self) -> None:
-        self._born: OrderedDict[str, int] = OrderedDict()
-
-    def add(self, name: str, born: int) -> bool:
-        """Add an incarnation; return whether it is later than the known one."""
-        known = self._born.get(name)
-        if known is not None and known >= born:
-            return False
-        self._born[name] = born
-        self._born.move_to_end(name)
-        while len(self._born) > _MAX_LEAVING:
-            self._born.popitem(last=False)
-        return True
-
-    def mark(self, server: BackendServer) -> BackendServer:
-        """Return the server, marked as leaving if it has announced that."""
-        if self._born.get(server.name) != server.born:
-            return server
-        return replace(server, leaving=True)
-
-
-@dataclass(frozen=True)
-class _HeldRemoval:
-    """A removal that takes effect at a time in monotonic seconds."""
-
-    record: Record
-    effective_at: float
-
-
 class RecordCache:
-    """Keep the latest revision of each record and its decoded content."""
+    """Keep the latest of each record and its decoded content."""
 
     def __init__(
         self, codec: RecordCodec, clock: Clock, drain_seconds: float
     ) -> None:
         self._codec = codec
-        self._clock = clock
-        self._removal_delay_seconds = min(
-            _REMOVAL_DELAY_SECONDS, _DRAIN_RATIO * drain_seconds
-        )
         self._records: dict[tuple[RecordKind, str], Record] = {}
-        self._servers: dict[str, BackendServer] = {}
-        # Removals of entries that may have expired. Only the host that has read
-        # such a removal holds it: other hosts learn of it once it has effect.
-        self._held_removals: dict[str, _HeldRemoval] = {}
-        self._leaving = _LeavingIncarnations()
+        self._servers = ServerEntries(codec, clock, drain_seconds)
         self._observers: list[Observer] = []
         self.catalogue: Catalogue | None = None
         self._rollouts: dict[str, Rollout] = {}
@@ -99,37 +58,35 @@
         """Register a callback for every record that is adopted or changed."""
         self._observers.append(observer)
 
+    def subscribe_departures(self, observer: DepartureObserver) -> None:
+        """Register a callback for servers that an older copy has restored."""
+        self._servers.subscribe_departures(observer)
+
     def list_servers(self, service: str) -> tuple[BackendServer, ...]:
         """Return the servers of a service, leaving ones included."""
-        self._apply_held_removals()
         return tuple(
             server
-            for server in self._servers.values()
+            for server in self.list_all_servers()
             if server.service == service
         )
 
     def list_all_servers(self) -> tuple[BackendServer, ...]:
         """Return all servers of all services."""
-        self._apply_held_removals()
-        return tuple(self._servers.values())
+        for removal in self._servers.list_due_removals():
+            self.adopt(removal)
+        return self._servers.list_all()
 
     def find_server(self, name: str) -> BackendServer | None:
         """Return a server by its name."""
-        return self._servers.get(name)
+        return self._servers.find(name)
 
     def mark_leaving(self, name: str, born: int) -> bool:
         """Mark an incarnation as leaving; return whether that is new."""
-        if not self._leaving.add(name, born):
+        if not self._servers.mark_leaving(name, born):
             return False
-        _log.info(
-            'Server announced that it is leaving.', server=name, born=born
-        )
-        server = self._servers.get(name)
-        if server is not None:
-            self._servers[name] = self._leaving.mark(server)
-            record = self._records[RecordKind.server, name]
-            for observer in self._observers:
-                observer(record)
+        record = self._records.get((RecordKind.server, name))
+        if record is not None and self.find_server(name) is not None:
+            self._notify(record)
         return True
 
     def list_rollouts(self) -> tuple[Rollout, ...]:
@@ -148,11 +105,13 @@
         """Adopt a complete listing; older records not in it are removed."""
         listed = {record.name for record in listing.records}
         for record in listing.records:
-            self.adopt(record)
-        for known in self.list_records(kind):
-            if known.name not in listed and known.content is not None:
-                removal = Record(kind, known.name, listing.revision, None)
-                self.adopt(removal, after_outage)
+            self.adopt(replace(record, listed=True))
+        self._servers.note_era(listing.era)
+        for known in self._list_missing(kind, listed, listing.era):
+            removal = Record(
+                kind, known.name, listing.revision, None, listing.era
+            )
+            self.adopt(removal, after_outage or known.era < listing.era)
 
     def adopt(self, record: Record, after_outage: bool = False) -> bool:
         """Store a record if it is newer; return whether it was stored.
@@ -160,67 +119,87 @@
         A server's removal that was read right after an outage of the store is
         held, since the entry may have expired during the outage.
         """
-        key = (record.kind, record.name)
-        known = self._records.get(key)
-        if known is not None and known.revision >= record.revision:
+        self._servers.note_era(record.era)
+        known = self._records.get((record.kind, record.name))
+        if record.kind is RecordKind.catalogue:
+            return self._adopt_catalogue(record, known)
+        if known is not None and known.position >= record.position:
             return False
-        if after_outage and self._hold_removal(record):
+        if record.kind is RecordKind.server:
+            if after_outage and self._servers.hold_removal(record):
+                return False
+            self._servers.adopt(record)
+        elif not self._adopt_rollout(record):
             return False
-        self._records[key] = record
+        self._store(record)
+        return True
+
+    def _list_missing(
+        self, kind: RecordKind, listed: Container[str], era: int
+    ) -> tuple[Record, ...]:
+        """Return the records that a listing without them removes.
+
+        Operators write again what the store has lost; until then it is in
+        force.
+        """
+        return tuple(
+            known
+            for known in self.list_records(kind)
+            if known.name not in listed
+            and known.content is not None
+            and (known.era == era or kind is RecordKind.server)
+        )
+
+    def _store(self, record: Record) -> None:
+        self._records[record.kind, record.name] = record
         GATEWAY_REVISION.labels(record.kind).set(record.revision)
-        if record.kind is RecordKind.catalogue:
-            self._adopt_catalogue(record)
-        elif record.kind is RecordKind.server:
-            self._adopt_server(record)
-        elif record.kind is RecordKind.rollout:
-            self._adopt_rollout(record)
+        self._notify(record)
+
+    def _notify(self, record: Record) -> None:
         for observer in self._observers:
             observer(record)
-        return True
 
-    def _adopt_catalogue(self, record: Record) -> None:
+    def _adopt_catalogue(self, record: Record, known: Record | None) -> bool:
+        if (
+            known is not None
+            and known.era == record.era
+            and known.revision >= record.revision
+        ):
+            return False
         catalogue = self._codec.decode_catalogue(record)
         if catalogue is None:
-            return
+            return False
+        # Versions only rise, whereas revisions do not across eras.
+        if self.catalogue is not None and known is not None:
+            in_force = (self.catalogue.version, known.position)
+            if (catalogue.version, record.position) <= in_force:
+                return False
         self.catalogue = catalogue
         _log.info(
             'Configuration adopted.',
+            era=record.era,
             revision=record.revision,
             version=catalogue.version,
             routes=len(catalogue.routes),
         )
+        self._store(replace(record, version=catalogue.version))
+        return True
 
-    def _adopt_server(self, record: Record) -> None:
-        if record.content is None:
-            self._remove_server(record)
-            return
-        held = self._held_removals.get(record.name)
-        if held is not None and held.record.revision < record.revision:
-            self._held_removals.pop(record.name)
-        server = self._codec.decode_server(record)
-        if server is None:
-            self._servers.pop(record.name, None)
-            return
-        server = self._leaving.mark(server)
-        self._servers[record.name] = server
-        _log.info(
-            'Server entry adopted.',
-            server=record.name,
-            revision=record.revision,
-            address=server.address,
-            service=server.service,
-            zone=server.zone,
-            version=server.version,
-            born=server.born,
-            leaving=server.leaving,
-            spot=server.spot,
-        )
-
-    def _adopt_rollout(self, record: Record) -> None:
+    def _adopt_rollout(self, record: Record) -> bool:
+        previous = self._rollouts.get(record.name)
         rollout = record.content and self._codec.decode_rollout(record)
         if not rollout:
             self._rollouts.pop(record.name, None)
-            return
+            return True
+        if (
+            previous is not None
+            and previous.era < record.era
+            and rollout.order != previous.order
+        ):
+            if record.listed:
+                return False
+            if _is_same_order(rollout, previous):
+                rollout = replace(rollout, order=previous.order)
         self._rollouts[record.name] = rollout
         _log.info(
             'Roll-out adopted.',
@@ -228,43 +207,15 @@
             version=rollout.version,
             seconds=rollout.seconds,
             state=rollout.state,
+            era=record.era,
             revision=record.revision,
         )
-
-    def _remove_server(self, record: Record) -> None:
-        self._held_removals.pop(record.name, None)
-        if self._servers.pop(record.name, None) is not None:
-            _log.info(
-                'Server entry removed.',
-                server=record.name,
-                revision=record.revision,
-            )
-
-    def _hold_removal(self, record: Record) -> bool:
-        """Hold a removal if it may be that of a live server."""
-        server = self._servers.get(record.name)
-        if record.content is not None or server is None or server.leaving:
-            return False
-        # Later copies of a removal, with the revisions of the listings that
-        # lacked the server, must not extend the delay.
-        if record.name not in self._held_removals:
-            self._held_removals[record.name] = _HeldRemoval(
-                record,
-                self._clock.read_monotonic() + self._removal_delay_seconds,
-            )
-            _log.info(
-                'Removal of a server entry held.',
-                server=record.name,
-                revision=record.revision,
-            )
         return True
 
-    def _apply_held_removals(self) -> None:
-        now = self._clock.read_monotonic()
-        due = [
-            held.record
-            for held in self._held_removals.values()
-            if held.effective_at <= now
-        ]
-        for record in due:
-            self.adopt(record)
+
+def _is_same_order(rollout: Rollout, previous: Rollout) -> bool:
+    """Return whether an order that was lost has been written again."""
+    return (rollout.version, rollout.seconds) == (
+        previous.version,
+        previous.seconds,
+    )
--- a/src/monsoonwall/gateway/record_gossip.py
+++ b/src/monsoonwall/gateway/record_gossip.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import struct
 import zlib
 from random import Random
 from typing import Final
@@ -14,44 +15,55 @@
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board, Entry, Fact
 
-RECORD_KIND: Final = 'record'
+RECORD_KIND: Final = 'positioned-record'
 # Random delay before a record is published. Hosts that receive it from another
 # host meanwhile need not publish it themselves.
 _JITTER_SECONDS: Final = 0.4
 _FACT_TTL_SECONDS: Final = 3600.0
-_REVISION_BYTES: Final = 8
-# Follows the revision: whether the record was removed or has content.
+# Version, era, revision, and whether the record was listed, written or removed.
+# In this order the greater payload, which the board keeps, is the later record.
+_HEAD: Final = struct.Struct('>QIQc')
+_LISTED: Final = b'*'
+_WRITTEN: Final = b'+'
 _REMOVED: Final = b'-'
-_PRESENT: Final = b'+'
 
 _log = make_logger('spread')
 
 
 def encode_record(record: Record) -> bytes:
-    """Encode a record so that a higher revision is a greater payload.
-
-    The board keeps the greatest payload of each fact.
-    """
-    revision = record.revision.to_bytes(_REVISION_BYTES, 'big')
+    """Encode a record so that a later one is a greater payload."""
     if record.content is None:
-        return revision + _REMOVED
-    return revision + _PRESENT + zlib.compress(record.content)
+        return _encode_head(record, _REMOVED)
+    presence = _LISTED if record.listed else _WRITTEN
+    return _encode_head(record, presence) + zlib.compress(record.content)
 
 
 def decode_record(fact: Fact) -> Record | None:
     """Decode the record in a fact; return None if it is malformed."""
     kind, _, name = fact.key.partition('/')
-    revision = int.from_bytes(fact.payload[:_REVISION_BYTES], 'big')
-    presence = fact.payload[_REVISION_BYTES : _REVISION_BYTES + 1]
-    compressed = fact.payload[_REVISION_BYTES + 1 :]
+    compressed = fact.payload[_HEAD.size :]
     try:
-        content = zlib.decompress(compressed) if presence == _PRESENT else None
-        return Record(RecordKind(kind), name, revision, content)
-    except (ValueError, zlib.error) as error:
+        version, era, revision, presence = _HEAD.unpack(
+            fact.payload[: _HEAD.size]
+        )
+        return Record(
+            RecordKind(kind),
+            name,
+            revision,
+            None if presence == _REMOVED else zlib.decompress(compressed),
+            era,
+            presence == _LISTED,
+            version,
+        )
+    except (ValueError, struct.error, zlib.error) as error:
         _log.warning('Cannot decode record.', key=fact.key, reason=str(error))
         return None
 
 
+def _encode_head(record: Record, presence: bytes) -> bytes:
+    return _HEAD.pack(record.version, record.era, record.revision, presence)
+
+
 class RecordGossip:
     """Publish adopted records and adopt those of other hosts."""
 
@@ -88,6 +100,7 @@
             _log.info(
                 'Record received from another host.',
                 key=received.key,
+                era=record.era,
                 revision=record.revision,
             )
 
@@ -106,12 +119,9 @@
 
     def _publish(self, record: Record, published: dict[str, bytes]) -> None:
         key = f'{record.kind}/{record.name}'
-        published_revision = int.from_bytes(
-            published.get(key, b'')[:_REVISION_BYTES], 'big'
-        )
-        if published_revision >= record.revision:
+        payload = encode_record(record)
+        published_head = published.get(key, b'')[: _HEAD.size]
+        if published_head >= payload[: _HEAD.size]:
             return
         expires_wall = self._clock.read_wall() + _FACT_TTL_SECONDS
-        self._board.publish_fact(
-            Fact(RECORD_KIND, key, encode_record(record), expires_wall)
-        )
+        self._board.publish_fact(Fact(RECORD_KIND, key, payload, expires_wall))
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -124,6 +124,7 @@
         self._responded_at = float('-inf')
         self._suspected = False
         self._recovery_ends_at = float('-inf')
+        self._era: int | None = None
 
     @property
     def recovering(self) -> bool:
@@ -134,13 +135,16 @@
         """Record that the store seems to be unavailable to all hosts."""
         self._suspected = True
 
-    def record_response(self) -> None:
-        """Record a response of the store."""
+    def record_response(self, era: int) -> None:
+        """Record a response of the store in an era."""
         now = self._clock.read_monotonic()
-        if self._suspected and now - self._responded_at > _MIN_OUTAGE_SECONDS:
+        gap_seconds = now - self._responded_at
+        restored = self._era not in {None, era}
+        if restored or (self._suspected and gap_seconds > _MIN_OUTAGE_SECONDS):
             self._recovery_ends_at = now + _RECOVERY_SECONDS
         self._suspected = False
         self._responded_at = now
+        self._era = era
 
 
 class RecordWatcher:
@@ -168,6 +172,7 @@
         self._needs_current = not first_start
         self._backoff = Backoff(_MIN_BACKOFF_SECONDS, _MAX_BACKOFF_SECONDS)
         self._revision: int | None = None
+        self._era = 0
         self._outages = OutageDetector(clock)
         self._reachable = True
         self._watching = False
@@ -218,11 +223,12 @@
         if not is_successful(listed):
             return listed.failure()
         listing = listed.unwrap()
-        self._outages.record_response()
+        self._outages.record_response(listing.era)
         self._record_cache.adopt_listing(
             self._kind, listing, self._outages.recovering
         )
         self._revision = listing.revision
+        self._era = listing.era
         self._needs_current = True
         return None
 
@@ -237,7 +243,16 @@
         if not is_successful(watched):
             return watched.failure()
         changes = watched.unwrap()
-        self._outages.record_response()
+        if changes.era != self._era:
+            # Changes between the copy and the watch's revision are not in it.
+            _log.info(
+                'Store returned from an older copy; listing again.',
+                kind=self._kind,
+                era=changes.era,
+            )
+            self._revision = None
+            return None
+        self._outages.record_response(changes.era)
         for record in changes.records:
             self._record_cache.adopt(record, self._outages.recovering)
         self._revision = max(self._revision or 0, changes.revision)
--- a/src/monsoonwall/gateway/records.py
+++ b/src/monsoonwall/gateway/records.py
@@ -27,21 +27,33 @@
 class Record:
     """One record as it was written; without ``content`` it was removed.
 
-    Revisions increase with each change of any record.
+    Revisions increase with each change of any record within an era. A new era
+    begins when the store returns from an older copy of its content. A
+    ``listed`` record may have been written in an earlier era than the one in
+    which it was read. ``version`` is that of a configuration, else 0.
     """
 
     kind: RecordKind
     name: str
     revision: int
     content: bytes | None
+    era: int = 0
+    listed: bool = False
+    version: int = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Return the place of the record in the order of changes."""
+        return self.era, self.revision
 
 
 @dataclass(frozen=True)
 class Listing:
-    """Records of one kind, as of a revision."""
+    """Records of one kind, as of a revision of an era."""
 
     records: tuple[Record, ...]
     revision: int
+    era: int = 0
 
 
 class RecordSource(ABC):
--- a/src/monsoonwall/platform/budgeted.py
+++ b/src/monsoonwall/platform/budgeted.py
@@ -41,6 +41,11 @@
         self._read_budget = _make_budget(rates.reads, now)
         self._write_budget = _make_budget(rates.writes, now)
 
+    @property
+    def era(self) -> int:
+        """Return how often the store has returned from an older copy."""
+        return self._store.era
+
     async def read(
         self, key: str, reason: CallReason
     ) -> Result[StoredObject, StoreFailure]:
--- a/src/monsoonwall/platform/objects.py
+++ b/src/monsoonwall/platform/objects.py
@@ -39,7 +39,10 @@
 
 @dataclass(frozen=True)
 class StoredObject:
-    """One object; ``version`` increases with each write of its key."""
+    """One object; ``version`` increases with each write of its key.
+
+    Versions of different eras of the store (see ``ObjectStore.era``) differ.
+    """
 
     key: str
     version: int
@@ -52,6 +55,15 @@
     Each call counts towards the platform's rate limit, watches included.
     """
 
+    @property
+    def era(self) -> int:
+        """Return how often the store has returned from an older copy.
+
+        Writes acknowledged shortly before a return may be lost. Known from the
+        responses to earlier calls.
+        """
+        return 0
+
     @abstractmethod
     async def read(
         self, key: str, reason: CallReason
--- a/src/monsoonwall/platform/rollouts.py
+++ b/src/monsoonwall/platform/rollouts.py
@@ -59,6 +59,7 @@
             order=f'{spec.target} {spec.duration_s} {created}',
             revision=record.revision,
             state=_find_state(spec, document.status),
+            era=record.era,
         )
     )
 
--- a/src/monsoonwall/platform/store.py
+++ b/src/monsoonwall/platform/store.py
@@ -1,6 +1,7 @@
 """HTTP client of the metadata store of the users' platform."""
 
 from collections.abc import Mapping
+from functools import partial
 from types import MappingProxyType
 from typing import Any, Final
 from urllib.parse import quote, urlencode
@@ -37,6 +38,7 @@
     decode_page,
     decode_response,
     decode_valid,
+    read_era,
 )
 from monsoonwall.transport.channels import call
 from monsoonwall.transport.messages import OutgoingRequest, Reply
@@ -65,6 +67,8 @@
 _FIRST_FAILURE_STATUS: Final = 300
 _JSON_HEADERS: Final = (('Content-Type', 'application/json'),)
 _LOGGED_BYTES: Final = 200
+# Versions of objects hold the era above the revision.
+_REVISION_BITS: Final = 48
 _FAILURES: Final = MappingProxyType(
     {
         404: StoreFailure.missing,
@@ -87,6 +91,12 @@
     def __init__(self, address: str, clock: Clock) -> None:
         self._address = address
         self._clock = clock
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Return how often the store has returned from an older copy."""
+        return self._era
 
     async def read(
         self, key: str, reason: CallReason
@@ -105,7 +115,9 @@
         return listed.map(
             lambda decoded: tuple(
                 _make_stored_object(
-                    prefix + store_object.metadata.name, store_object
+                    prefix + store_object.metadata.name,
+                    store_object,
+                    decoded.era,
                 )
                 for store_object in decoded.objects
             )
@@ -117,25 +129,26 @@
         """Write a new object; fails with ``conflict`` if the key exists."""
         path = _make_path(key).rpartition('/')[0]
         request = _make_write_request('POST', path, key, content)
-        return await self._write(key, request, reason)
+        return await self._write(key, request, reason, self._era)
 
     async def update(
         self, key: str, content: bytes, version: int, reason: CallReason
     ) -> Result[StoredObject, StoreFailure]:
         """Replace an object; ``conflict`` if it has another version."""
+        era, revision = _split_version(version)
         request = _make_write_request(
-            'PUT', _make_path(key), key, content, version
+            'PUT', _make_path(key), key, content, revision
         )
-        return await self._write(key, request, reason)
+        return await self._write(key, request, reason, era)
 
     async def delete(
         self, key: str, version: int, reason: CallReason
     ) -> Result[StoredObject, StoreFailure]:
         """Delete an object; ``conflict`` if it has another version."""
-        path = f'{_make_path(key)}?{urlencode({"revision": version})}'
-        return await self._fetch_object(
-            key, reason, OutgoingRequest('DELETE', path, ())
-        )
+        era, revision = _split_version(version)
+        path = f'{_make_path(key)}?{urlencode({"revision": revision})}'
+        request = OutgoingRequest('DELETE', path, ())
+        return await self._write(key, request, reason, era)
 
     async def watch(
         self, key: str, after: int, deadline: float, reason: CallReason
@@ -143,17 +156,19 @@
         """Wait until the object's version is above ``after``, return it."""
         kind, _, name = key.partition('/')
         own_kind = _OWN_KIND_PREFIX + kind
-        watched = await self._watch(own_kind, after, deadline, reason)
+        revision = _split_version(after)[1]
+        watched = await self._watch(own_kind, revision, deadline, reason)
         if not is_successful(watched):
             return Failure(watched.failure())
+        changes = watched.unwrap()
         changed = [
             event.object
-            for event in watched.unwrap().events
+            for event in changes.events
             if event.object.metadata.name == name and not event.deleted
         ]
         if not changed:
             return Failure(StoreFailure.missing)
-        return Success(_make_stored_object(key, changed[-1]))
+        return Success(_make_stored_object(key, changed[-1], changes.era))
 
     async def list_records(
         self, kind: RecordKind, current: bool
@@ -167,11 +182,12 @@
         return listed.map(
             lambda decoded: Listing(
                 tuple(
-                    _make_record(kind, store_object)
+                    _make_record(kind, store_object, decoded.era)
                     for store_object in decoded.objects
                     if _is_relevant(kind, store_object)
                 ),
                 decoded.revision,
+                decoded.era,
             )
         )
 
@@ -185,11 +201,12 @@
         return watched.map(
             lambda decoded: Listing(
                 tuple(
-                    _make_record(kind, event.object, event.deleted)
+                    _make_record(kind, event.object, decoded.era, event.deleted)
                     for event in decoded.events
                     if _is_relevant(kind, event.object)
                 ),
                 decoded.revision,
+                decoded.era,
             )
         )
 
@@ -197,6 +214,8 @@
         self, rollout: Rollout, state: RolloutState
     ) -> Result[Record, StoreFailure]:
         """Write the state of a roll-out."""
+        if rollout.era != self._era:
+            return Failure(StoreFailure.conflict)
         kind = _KINDS[RecordKind.rollout]
         name = quote(rollout.name, safe='')
         request = OutgoingRequest(
@@ -206,9 +225,15 @@
             encode_status(rollout, state),
         )
         fetched = await self._fetch(request, CallReason.status)
-        return fetched.bind(
-            lambda reply: decode_response(reply, StoreObject)
-        ).map(lambda decoded: _make_record(RecordKind.rollout, decoded))
+        return (
+            fetched.bind(lambda reply: _check_era(reply, rollout.era))
+            .bind(lambda reply: decode_response(reply, StoreObject))
+            .map(
+                lambda decoded: _make_record(
+                    RecordKind.rollout, decoded, rollout.era
+                )
+            )
+        )
 
     async def _list(
         self,
@@ -218,16 +243,21 @@
     ) -> Result[StoreList, StoreFailure]:
         objects: list[StoreObject] = []
         query = dict(options)
+        era: int | None = None
         while True:
             path = f'{_OBJECTS_PATH}/{kind}?{urlencode(query)}'.rstrip('?')
-            request = OutgoingRequest('GET', path, ())
-            page = (await self._fetch(request, reason)).bind(decode_page)
+            fetched = await self._fetch(
+                OutgoingRequest('GET', path, ()), reason
+            )
+            if era is None:
+                era = fetched.map(read_era).value_or(0)
+            page = fetched.bind(partial(_check_era, era=era)).bind(decode_page)
             if not is_successful(page):
                 return page
             page_content = page.unwrap()
             objects.extend(decode_valid(page_content.items, StoreObject))
             if not page_content.has_more or not objects:
-                return Success(StoreList(page_content.at, tuple(objects)))
+                return Success(StoreList(page_content.at, tuple(objects), era))
             query['after'] = objects[-1].metadata.name
 
     async def _watch(
@@ -244,28 +274,38 @@
             reason,
             remaining_seconds + _WATCH_TIMEOUT_SECONDS,
         )
+        era = fetched.map(read_era).value_or(0)
         return fetched.bind(
             lambda reply: decode_response(reply, StoreEvents)
         ).map(
             lambda decoded: StoreChanges(
-                decoded.at, decode_valid(decoded.events, StoreEvent)
+                decoded.at, decode_valid(decoded.events, StoreEvent), era
             )
         )
 
     async def _write(
-        self, key: str, request: OutgoingRequest, reason: CallReason
+        self, key: str, request: OutgoingRequest, reason: CallReason, era: int
     ) -> Result[StoredObject, StoreFailure]:
+        """Write an object on the basis of what was read in an era."""
         if len(request.body) > MAX_OBJECT_BYTES:
             return Failure(StoreFailure.too_large)
-        return await self._fetch_object(key, reason, request)
+        if era != self._era:
+            return Failure(StoreFailure.conflict)
+        fetched = await self._fetch(request, reason)
+        return (
+            fetched.bind(lambda reply: _check_era(reply, era))
+            .bind(lambda reply: decode_response(reply, StoreObject))
+            .map(lambda decoded: _make_stored_object(key, decoded, era))
+        )
 
     async def _fetch_object(
         self, key: str, reason: CallReason, request: OutgoingRequest
     ) -> Result[StoredObject, StoreFailure]:
         fetched = await self._fetch(request, reason)
+        era = fetched.map(read_era).value_or(0)
         return fetched.bind(
             lambda reply: decode_response(reply, StoreObject)
-        ).map(lambda decoded: _make_stored_object(key, decoded))
+        ).map(lambda decoded: _make_stored_object(key, decoded, era))
 
     async def _fetch(
         self,
@@ -279,6 +319,7 @@
             return _record_failure(reason, StoreFailure.lost)
         except OSError:
             return _record_failure(reason, StoreFailure.unavailable)
+        self._era = max(self._era, read_era(reply))
         if reply.head.status >= _FIRST_FAILURE_STATUS:
             status = reply.head.status
             if status not in _FAILURES:
@@ -317,10 +358,27 @@
     return OutgoingRequest(method, path, _JSON_HEADERS, body)
 
 
-def _make_stored_object(key: str, store_object: StoreObject) -> StoredObject:
-    return StoredObject(
-        key, store_object.metadata.revision, bytes(store_object.spec)
-    )
+def _make_stored_object(
+    key: str, store_object: StoreObject, era: int
+) -> StoredObject:
+    version = era << _REVISION_BITS | store_object.metadata.revision
+    return StoredObject(key, version, bytes(store_object.spec))
+
+
+def _split_version(version: int) -> tuple[int, int]:
+    """Return the era and the revision of a stored object's version."""
+    era = version >> _REVISION_BITS
+    return era, version - (era << _REVISION_BITS)
+
+
+def _check_era(reply: Reply, era: int) -> Result[Reply, StoreFailure]:
+    """Return the reply, or ``lost`` if it is from another era.
+
+    What a call refers to may be another content in that era.
+    """
+    if read_era(reply) == era:
+        return Success(reply)
+    return Failure(StoreFailure.lost)
 
 
 def _is_relevant(kind: RecordKind, store_object: StoreObject) -> bool:
@@ -330,7 +388,10 @@
 
 
 def _make_record(
-    kind: RecordKind, store_object: StoreObject, deleted: bool = False
+    kind: RecordKind,
+    store_object: StoreObject,
+    era: int,
+    deleted: bool = False,
 ) -> Record:
     spec = bytes(store_object.spec)
     if kind is RecordKind.rollout:
@@ -342,4 +403,5 @@
         store_object.metadata.name,
         store_object.metadata.revision,
         None if deleted else spec,
+        era,
     )
--- a/src/monsoonwall/platform/store_messages.py
+++ b/src/monsoonwall/platform/store_messages.py
@@ -5,7 +5,7 @@
 """
 
 from dataclasses import dataclass
-from typing import Any, TypeVar
+from typing import Any, Final, TypeVar
 
 from msgspec import DecodeError, Raw, Struct, ValidationError, field, json
 from returns.result import Failure, Result, Success
@@ -15,6 +15,8 @@
 from monsoonwall.transport.messages import Reply
 
 _log = make_logger('store')
+# Number of times that the store has returned from an older copy.
+_ERA_HEADER: Final = 'Store-Era'
 _Decoded = TypeVar('_Decoded')
 
 
@@ -63,6 +65,7 @@
 
     revision: int
     objects: tuple[StoreObject, ...]
+    era: int
 
 
 @dataclass(frozen=True)
@@ -71,6 +74,13 @@
 
     revision: int
     events: tuple[StoreEvent, ...]
+    era: int
+
+
+def read_era(reply: Reply) -> int:
+    """Return how often the store has returned from an older copy."""
+    era = reply.head.headers.get(_ERA_HEADER, '')
+    return int(era) if era.isdecimal() else 0
 
 
 def decode_response(reply: Reply, expected: Any) -> Result[Any, StoreFailure]:
--- a/tests/gateway/test_record_cache.py
+++ b/tests/gateway/test_record_cache.py
@@ -1,6 +1,7 @@
 """Test which records the cache adopts, and their encoding for the mesh."""
 
 import unittest
+from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -49,6 +50,25 @@
 )
 
 
+positioned_records = st.builds(
+    Record,
+    st.just(RecordKind.server),
+    st.just('i-1'),
+    st.integers(1, 2**40),
+    st.binary(),
+    st.integers(0, 3),
+    st.booleans(),
+    st.integers(0, 2**40),
+) | st.builds(
+    Record,
+    st.just(RecordKind.server),
+    st.just('i-1'),
+    st.integers(1, 2**40),
+    st.none(),
+    st.integers(0, 3),
+)
+
+
 class RecordCacheTest(unittest.TestCase):
     """Pass records of the store and of other hosts to one cache."""
 
@@ -170,34 +190,95 @@
         self.assertEqual(record_cache.list_servers('llm'), ())
 
 
+def make_rollout(revision, created, era=0, target='v2'):
+    content = {
+        'metadata': {'name': 'app', 'created': created},
+        'spec': {'service': 'app', 'target': target, 'duration_s': 20},
+    }
+    return Record(
+        RecordKind.rollout, 'app', revision, json.encode(content), era
+    )
+
+
+class RestoredRecordsTest(unittest.TestCase):
+    """Pass records of a store that returned from an older copy to a cache."""
+
+    def setUp(self):
+        self.record_cache = make_record_cache()
+
+    def adopt_copy(self, kind, *records, revision=5):
+        in_era = tuple(replace(record, era=1) for record in records)
+        self.record_cache.adopt_listing(kind, Listing(in_era, revision, era=1))
+
+    def is_used(self, name):
+        server = self.record_cache.find_server(name)
+        return server is not None and not server.leaving
+
+    def test_configuration_with_a_higher_version_wins_in_any_order(self):
+        lost = make_catalogue(9, version=3)
+        written_again = replace(make_catalogue(6, version=4), era=1)
+        self.record_cache.adopt(written_again)
+        self.assertFalse(self.record_cache.adopt(lost))
+        self.adopt_copy(RecordKind.catalogue, make_catalogue(2, version=1))
+        self.assertEqual(self.record_cache.catalogue.version, 4)
+
+    def test_late_record_of_the_era_before_is_ignored(self):
+        self.record_cache.adopt(replace(make_server('i-1', 3), era=1))
+        self.assertFalse(self.record_cache.adopt(make_removal('i-1', 9)))
+        self.assertTrue(self.is_used('i-1'))
+
+    def test_server_that_had_left_is_used_once_it_registers_again(self):
+        self.record_cache.adopt(make_server('i-1', 3))
+        self.record_cache.adopt(make_removal('i-1', 4))
+        self.adopt_copy(RecordKind.server, make_server('i-1', 3))
+        self.assertFalse(self.is_used('i-1'))
+        self.record_cache.adopt(replace(make_server('i-1', 6), era=1))
+        self.assertTrue(self.is_used('i-1'))
+
+    def test_earlier_incarnation_in_the_copy_is_not_used(self):
+        self.record_cache.adopt(make_server('i-1', 9, born=2))
+        self.adopt_copy(RecordKind.server, make_server('i-1', 3, born=1))
+        self.assertFalse(self.is_used('i-1'))
+
+    def test_server_that_only_the_copy_has_is_reported_to_other_hosts(self):
+        reported = []
+        self.record_cache.subscribe_departures(reported.append)
+        self.record_cache.adopt(make_server('i-1', 9, 'draining'))
+        self.adopt_copy(RecordKind.server, make_server('i-1', 3))
+        self.assertEqual([server.name for server in reported], ['i-1'])
+
+    def test_rollout_that_the_copy_lacks_goes_on(self):
+        """Requests went to the version that was being rolled out, unbounded."""
+        self.record_cache.adopt(make_rollout(9, created=9))
+        order = self.record_cache.list_rollouts()[0].order
+        self.adopt_copy(RecordKind.rollout)
+        self.record_cache.adopt(make_rollout(7, created=7, era=1))
+        rollout = self.record_cache.list_rollouts()[0]
+        self.assertEqual(rollout.order, order)
+        self.assertEqual((rollout.era, rollout.revision), (1, 7))
+
+    def test_earlier_order_in_the_copy_does_not_replace_a_rollout(self):
+        self.record_cache.adopt(make_rollout(9, created=9))
+        earlier = make_rollout(3, created=3, target='v1')
+        self.adopt_copy(RecordKind.rollout, earlier)
+        self.assertEqual(self.record_cache.list_rollouts()[0].version, 'v2')
+        self.record_cache.adopt(make_rollout(7, 7, era=1, target='v3'))
+        self.assertEqual(self.record_cache.list_rollouts()[0].version, 'v3')
+
+
 class RecordEncodingTest(unittest.TestCase):
     """Encode records for the mesh, which keeps the greatest payload."""
 
-    @given(
-        st.integers(1, 2**40),
-        st.integers(1, 2**40),
-        st.one_of(st.none(), st.binary()),
-        st.one_of(st.none(), st.binary()),
-    )
-    def test_later_record_is_the_greater_payload(
-        self, first_revision, second_revision, first_content, second_content
-    ):
-        payloads = [
-            encode_record(Record(RecordKind.server, 'i-1', revision, content))
-            for revision, content in (
-                (first_revision, first_content),
-                (second_revision, second_content),
-            )
+    @given(positioned_records, positioned_records)
+    def test_later_record_is_the_greater_payload(self, first, second):
+        payloads = [encode_record(record) for record in (first, second)]
+        orders = [
+            (record.version, *record.position) for record in (first, second)
         ]
-        if first_revision != second_revision:
-            self.assertEqual(
-                first_revision < second_revision, payloads[0] < payloads[1]
-            )
+        if orders[0] != orders[1]:
+            self.assertEqual(orders[0] < orders[1], payloads[0] < payloads[1])
         read = decode_record(Fact('record', 'server/i-1', payloads[0], 0))
-        self.assertEqual(
-            read,
-            Record(RecordKind.server, 'i-1', first_revision, first_content),
-        )
+        self.assertEqual(read, first)
 
     @given(st.binary(max_size=40))
     def test_malformed_payload_does_not_raise(self, payload):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -76,6 +76,45 @@
         changes = (await self.watch(self.store.revision)).unwrap()
         self.assertEqual(changes.records, ())
 
+    async def test_write_based_on_an_earlier_era_is_not_sent(self):
+        """A revision that is given out again let it replace other content."""
+        content = self.store.copy()
+        created = await self.client.create(
+            'leases/duties', b'"a"', CallReason.lease
+        )
+        version = created.unwrap().version
+        self.store.restore(content)
+        self.store.put('monsoonwall-leases', 'duties', 'b')
+        await self.client.read('leases/duties', CallReason.lease)
+        written = await self.client.update(
+            'leases/duties', b'"c"', version, CallReason.lease
+        )
+        self.assertIs(written.failure(), StoreFailure.conflict)
+        self.assertEqual(self.client.era, 1)
+
+    async def test_write_that_meets_a_new_era_may_have_taken_effect(self):
+        content = self.store.copy()
+        created = await self.client.create(
+            'leases/duties', b'"a"', CallReason.lease
+        )
+        version = created.unwrap().version
+        self.store.restore(content)
+        self.store.put('monsoonwall-leases', 'duties', 'b')
+        written = await self.client.update(
+            'leases/duties', b'"c"', version, CallReason.lease
+        )
+        self.assertIs(written.failure(), StoreFailure.lost)
+
+    async def test_changes_of_a_new_era_are_told_apart(self):
+        self.store.put('servers', 'i-1', SERVER)
+        content = self.store.copy()
+        after = self.store.revision
+        self.store.restore(content)
+        self.store.put('servers', 'i-2', SERVER)
+        changes = (await self.watch(after)).unwrap()
+        self.assertEqual(changes.era, 1)
+        self.assertEqual(changes.records[0].position, (1, after + 1))
+
     async def test_writes_are_conditional_on_the_version(self):
         created = await self.client.create(
             'leases/a', b'{"x":1}', CallReason.lease
