Keep the duty lease with its holder when the store forgets it

When the store returns from an older copy, another host took over the duties while the holder still acted: a record that the copy lacks, shows as released, or shows as the reader's own is free to take at once. The holder gave its term up when it read the copy's record.

Cause and class: the absence of a record was taken for the absence of a holder.

Now the first read in a new era starts a wait as long as a takeover, for all three cases; the holder writes its record again while its term lasts; a write that was sent before the era was known begins no term. New terms take numbers above those that a host knows to have been used.

The state machine of leases lets the store return without its last writes.

--- a/src/monsoonwall/control/lease_manager.py
+++ b/src/monsoonwall/control/lease_manager.py
@@ -52,6 +52,7 @@
         self._store = store
         self._clock = clock
         self._state = LeaseState(holder, timing)
+        self._known_number = 0
         self._held = False
 
     async def run(self) -> None:
@@ -67,6 +68,10 @@
             return None
         return term
 
+    def observe_number(self, fencing_number: int) -> None:
+        """Take a later fencing number than this one in the next term."""
+        self._known_number = max(self._known_number, fencing_number)
+
     async def release(self) -> None:
         """Release the lease so that a successor can take it at once.
 
@@ -79,7 +84,9 @@
 
     async def _step(self) -> None:
         now = self._clock.read_monotonic()
-        step = self._state.decide(now, self._clock.read_wall(), uuid4().hex)
+        step = self._state.decide(
+            now, self._clock.read_wall(), uuid4().hex, self._known_number
+        )
         if isinstance(step, Wait):
             await asyncio.sleep(step.until - now)
         elif isinstance(step, Read):
@@ -93,10 +100,13 @@
         if is_successful(found):
             stored = found.unwrap()
             self._state.record_read(
-                stored.version, _decode_record(stored.content), now
+                stored.version,
+                _decode_record(stored.content),
+                now,
+                self._store.era,
             )
         elif found.failure() is StoreFailure.missing:
-            self._state.record_read(0, None, now)
+            self._state.record_read(0, None, now, self._store.era)
         else:
             self._state.record_failure(now)
 
--- a/src/monsoonwall/decisions/leases.py
+++ b/src/monsoonwall/decisions/leases.py
@@ -6,6 +6,10 @@
 compared. The holder measures its time from before it sent the write, and a
 successor from after it first read that write, so that the successor always
 waits longer.
+
+The store may return from an older copy, which begins a new era and may lose the
+writes of a holder that still acts. Such a holder writes its record again while
+its term lasts; all others wait as if they had just read another host's write.
 """
 
 from collections.abc import Iterable
@@ -125,6 +129,7 @@
 class _SentWrite:
     record: LeaseRecord
     sent_at: float
+    era: int
 
 
 class LeaseState:
@@ -144,6 +149,10 @@
         self._uncertain_writes: dict[tuple[str, int], _SentWrite] = {}
         self._term: Term | None = None
         self._own_record: LeaseRecord | None = None
+        self._era = 0
+        self._term_era = 0
+        # Until then a holder that the store has forgotten may act.
+        self._forgotten_until = float('-inf')
         self._renew_at = float('-inf')
         self._read_at = float('-inf')
 
@@ -152,15 +161,23 @@
         """Return the current term, even if its deadline has passed."""
         return self._term
 
-    def decide(self, now: float, now_wall: float, token: str) -> Step:
-        """Return the next step; ``token`` is new and unique to this call."""
+    def decide(
+        self, now: float, now_wall: float, token: str, known_number: int = 0
+    ) -> Step:
+        """Return the next step; ``token`` is new and unique to this call.
+
+        A new term gets a later fencing number than ``known_number``, the last
+        one that any host is known to have used.
+        """
         if self._observed is None:
             return Read() if now >= self._read_at else Wait(self._read_at)
         if self._own_record is not None:
             return self._renew(now)
         takeover_at = self._find_takeover_time(self._observed)
         if now >= takeover_at:
-            return self._take_over(self._observed, now_wall, token)
+            return self._take_over(
+                self._observed, now_wall, token, known_number
+            )
         if now >= self._read_at:
             return Read()
         return Wait(min(takeover_at, self._read_at))
@@ -181,7 +198,7 @@
 
     def record_sent_write(self, write: Write, now: float) -> None:
         """Record a write that is about to be sent."""
-        sent = _SentWrite(write.record, now)
+        sent = _SentWrite(write.record, now, self._era)
         self._last_sent = sent
         self._uncertain_writes[write.record.token, write.record.beat] = sent
 
@@ -202,25 +219,44 @@
         self._renew_at = self._read_at
 
     def record_read(
-        self, version: int, record: LeaseRecord | None, now: float
+        self, version: int, record: LeaseRecord | None, now: float, era: int = 0
     ) -> None:
-        """Record the result of a read that ended now."""
+        """Record the result of a read that ended now, in an era of the store.
+
+        Versions of different eras differ.
+        """
         self._read_at = now + self._timing.poll_seconds
+        if era > self._era:
+            self._era = era
+            self._forgotten_until = now + self._timing.takeover_seconds
         previous = self._observed
         if previous is None or previous.version != version:
             self._observed = Observation(version, record, now)
         sent = record and self._uncertain_writes.get(
             (record.token, record.beat)
         )
-        if sent:
+        # A write that was sent in an earlier era may have replaced nothing only
+        # because the store has forgotten the holder.
+        if sent and sent.era == self._era:
             self._begin_term(sent)
         elif not self._owns(record):
-            self._end_term()
+            if self._is_forgotten(now):
+                self._renew_at = now
+            else:
+                self._end_term()
 
     def _owns(self, record: LeaseRecord | None) -> bool:
         own = self._own_record
         return bool(record and own and record.token == own.token)
 
+    def _is_forgotten(self, now: float) -> bool:
+        """Return whether the store has lost the writes of the current term."""
+        return (
+            self._term is not None
+            and self._term_era < self._era
+            and self._term.allows(now)
+        )
+
     def _begin_term(self, sent: _SentWrite) -> None:
         # The other writes depend on an earlier version and can't succeed now.
         self._uncertain_writes.clear()
@@ -228,6 +264,7 @@
             self._end_term()
             return
         self._own_record = sent.record
+        self._term_era = self._era
         self._renew_at = sent.sent_at + self._timing.renew_seconds
         self._term = Term(
             sent.record.fencing_number, sent.sent_at + self._timing.use_seconds
@@ -244,20 +281,30 @@
         return Write(record, self._observed.version)
 
     def _find_takeover_time(self, observed: Observation) -> float:
-        if observed.record is None or observed.record.released:
-            return observed.seen_at
-        if observed.record.holder == self._holder:
-            # In its own earlier term this host sends no more orders.
-            return observed.seen_at
+        record = observed.record
+        # In its own earlier term this host sends no more orders.
+        is_free = (
+            record is None or record.released or record.holder == self._holder
+        )
+        if is_free:
+            return max(observed.seen_at, self._forgotten_until)
         return observed.seen_at + self._timing.takeover_seconds
 
     def _take_over(
-        self, observed: Observation, now_wall: float, token: str
+        self,
+        observed: Observation,
+        now_wall: float,
+        token: str,
+        known_number: int,
     ) -> Write:
         last_number = observed.record.fencing_number if observed.record else 0
         # Fencing numbers start at the wall clock's time, so that a server that
         # changes to another shard gets higher numbers there than before.
-        number = max(last_number + 1, int(now_wall * _MILLISECONDS_PER_SECOND))
+        number = max(
+            last_number + 1,
+            known_number + 1,
+            int(now_wall * _MILLISECONDS_PER_SECOND),
+        )
         return Write(
             LeaseRecord(self._holder, token, number, next(self._beats)),
             observed.version,
--- a/tests/decisions/test_leases.py
+++ b/tests/decisions/test_leases.py
@@ -1,8 +1,8 @@
 """Check by random runs that at most one host at a time can use a lease.
 
 The hosts' monotonic clocks have different origins. Hosts are paused,
-responses to writes are lost or slow, writes take effect late, and the platform
-fails.
+responses to writes are lost or slow, writes take effect late, the platform
+fails, and its store returns from older copies.
 """
 
 import unittest
@@ -38,20 +38,42 @@
     arrives_at: float
 
 
-@dataclass
+# Versions that hosts see hold the store's era above its revision, which is all
+# that the store itself compares.
+ERA_VERSIONS = 1_000_000
+
+
 class Store:
     """Store the lease's object and accept conditional writes."""
 
-    version: int = 0
-    record: object = None
+    def __init__(self):
+        self.era = 0
+        self.revision = 0
+        self.record = None
+        self.copies = [(0, None)]
+
+    @property
+    def version(self):
+        return self.revision and self.era * ERA_VERSIONS + self.revision
 
     def write(self, write):
-        if write.version != self.version:
+        """Write the object if it has the expected revision."""
+        if write.version % ERA_VERSIONS != self.revision:
             return False
-        self.version += 1
+        self.revision += 1
         self.record = write.record
+        self.copies.append((self.revision, self.record))
         return True
 
+    def restore(self, lost_writes):
+        """Return without the last writes."""
+        self.era += 1
+        kept = max(1, len(self.copies) - lost_writes)
+        self.copies = self.copies[:kept]
+        revision, record = self.copies[-1]
+        self.revision = revision
+        self.record = record
+
 
 class LeaseMachine(RuleBasedStateMachine):
     """Let three hosts compete for one lease."""
@@ -61,6 +83,7 @@
         self.now = 500.0
         self.store = Store()
         self.disconnected = set()
+        self.known_eras = dict.fromkeys(NAMES, 0)
         self.states = {name: LeaseState(name, TIMING) for name in NAMES}
         self.clock_offsets = {
             name: 1000.0 * NAMES.index(name) for name in NAMES
@@ -84,7 +107,13 @@
             if name in self.disconnected:
                 state.record_failure(now)
             else:
-                state.record_read(self.store.version, self.store.record, now)
+                self.known_eras[name] = self.store.era
+                state.record_read(
+                    self.store.version,
+                    self.store.record,
+                    now,
+                    self.store.era,
+                )
         elif isinstance(step, Write):
             state.record_sent_write(step, now)
             return step
@@ -98,18 +127,23 @@
         now = self.read_clock(name)
         if name in self.disconnected:
             self.states[name].record_failure(now)
-        elif self.store.write(write):
+        elif self.write(name, write):
             self.states[name].record_successful_write(self.store.version, now)
         else:
             self.states[name].record_uncertain_write(now)
 
+    def write(self, name, write):
+        """Write the object; return whether its sender sees that."""
+        written = self.store.write(write)
+        return written and self.known_eras[name] == self.store.era
+
     @rule(name=hosts, seconds=strategies.sampled_from((0, 3, 11)))
     def step_with_slow_response(self, name, seconds):
         """Let a write take effect at once and respond to it later."""
         write = self.decide_step(name)
         if write is None or name in self.disconnected:
             return
-        written = self.store.write(write)
+        written = self.write(name, write)
         version = self.store.version
         self.wait(seconds)
         now = self.read_clock(name)
@@ -136,6 +170,10 @@
             self.delayed_writes.pop(position % len(self.delayed_writes))
         )
 
+    @rule(lost_writes=strategies.integers(0, 12))
+    def restore(self, lost_writes):
+        self.store.restore(lost_writes)
+
     @rule(name=hosts)
     def release(self, name):
         """Release a lease once its orders have arrived, as a host must."""
