Keep frozen usage counts when the store loses them

Cause and class: what had left the system was known to nothing but the store that could forget it.

Frozen counts are published to all hosts as facts when they are written. A holder reads those, and keeps its own, beside what the store returns.

Two tests; without the counts of other hosts and its own, both fail.

--- a/src/monsoonwall/gateway/usage.py
+++ b/src/monsoonwall/gateway/usage.py
@@ -19,6 +19,7 @@
     LeaseHolder,
     UsageReport,
 )
+from monsoonwall.gateway.frozen_counts import Counts, FrozenCounts
 from monsoonwall.gateway.settings import Bounds
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board, is_zone_summary
@@ -44,8 +45,6 @@
 
 _log = make_logger('usage')
 
-Counts = dict[str, int]
-
 
 class _PublishedCounts(Struct):
     # Distinguishes incarnations of a host, whose counts are added up.
@@ -59,6 +58,7 @@
     def __init__(
         self, board: Board, clock: Clock, own_name: str, bounds: Bounds
     ) -> None:
+        self.frozen = FrozenCounts(board, clock)
         self._board = board
         self._clock = clock
         self._own_name = own_name
@@ -186,7 +186,8 @@
     """Freeze and report the windows while this host holds the lease.
 
     Frozen counts are written to the store only if its version has not changed
-    since it was read, so that all lease holders report the same counts.
+    since it was read, so that all lease holders report the same counts. Other
+    hosts receive them as well, since the store may lose them.
     """
 
     def __init__(
@@ -237,14 +238,18 @@
         if is_successful(found):
             stored = found.unwrap()
             self._version = stored.version
-            self._frozen = _decode_frozen(stored.content)
+            self._restore(_decode_frozen(stored.content))
             return True
         if found.failure() is StoreFailure.missing:
             self._version = 0
-            self._frozen = {}
+            self._restore({})
             return True
         return False
 
+    def _restore(self, stored: Mapping[int, Counts]) -> None:
+        """Adopt the counts of the store and those that it may have lost."""
+        self._frozen = {**stored, **self._counter.frozen.read(), **self._frozen}
+
     async def _freeze(self, due: int) -> bool:
         frozen = dict(self._frozen)
         for number in range(due - self._reportable_windows + 1, due + 1):
@@ -266,6 +271,13 @@
             self._version = None
             return False
         self._version = written.unwrap().version
+        self._counter.frozen.publish(
+            {
+                window: frozen_counts
+                for window, frozen_counts in recent.items()
+                if window not in self._frozen
+            }
+        )
         self._frozen = recent
         _log.info(
             'Usage frozen.',
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -30,15 +30,20 @@
         self.store = MemoryStore()
         self.duties = RecordingDuties()
         self.shared = {}
+        self.shared_facts = {}
         self.counters = {name: self.make_counter(name) for name in 'ab'}
 
     def make_counter(self, name):
         board = FakeBoard(name, self.shared)
+        board.facts = self.shared_facts
         return UsageCounter(board, self.clock, name, BOUNDS)
 
     def make_reporter(self, name):
         return UsageReporter(
-            self.counters[name], self.store, self.duties, BOUNDS
+            self.counters[name],
+            self.store,
+            self.duties,
+            BOUNDS,
         )
 
     def count(self, name, workspace, times=1):
@@ -107,6 +112,36 @@
         self.assertEqual(windows, {WINDOW: {'depot': 3}})
         self.assertEqual(len(set(map(str, self.list_reports()))), 1)
 
+    async def freeze_and_lose(self, reporter):
+        """Let a reporter freeze a window that the store then loses."""
+        self.count('a', 'depot', 3)
+        late_counter = self.make_counter('c')
+        late_counter.count('depot')
+        self.end_window()
+        content = dict(self.store.objects)
+        await reporter.step(LeaseHolder('a', 1))
+        self.store.objects = content
+        self.counters['c'] = late_counter
+        self.exchange()
+
+    async def test_next_holder_repeats_counts_that_the_store_has_lost(self):
+        """Two holders reported a window with different counts."""
+        await self.freeze_and_lose(self.make_reporter('a'))
+        await self.make_reporter('b').step(LeaseHolder('b', 2))
+        self.assertEqual(self.list_reports(), 2 * [(WINDOW, {'depot': 3})])
+
+    async def test_holder_keeps_counts_that_the_store_has_lost(self):
+        reporter = self.make_reporter('a')
+        self.duties.endings = [DutyEnding.lost for _ in range(9)]
+        await self.freeze_and_lose(reporter)
+        self.shared_facts.clear()
+        reporter.reset()
+        await reporter.step(LeaseHolder('a', 1))
+        self.assertEqual(
+            {str(report) for report in self.list_reports()},
+            {str((WINDOW, {'depot': 3}))},
+        )
+
     async def test_window_is_reported_after_a_lost_write(self):
         self.count('a', 'depot', 3)
         self.end_window()
