Share the fencing numbers in use, and read the store again in a new era

A holder whose clock is behind could take a lower fencing number than the last one after the store had lost it; its calls are refused then. And what duty workers had written was not written again after the store had returned from an older copy, since they took it for present (convicted requests).

The holder publishes its number to all hosts, and candidates take a later one. Workers start again from the store when its era changes, as for a new term.

--- a/src/monsoonwall/gateway/duty_task.py
+++ b/src/monsoonwall/gateway/duty_task.py
@@ -15,12 +15,14 @@
     ConvictedRequestStore,
 )
 from monsoonwall.gateway.duties import DutyWorker, LeaseHolder
+from monsoonwall.gateway.fencing_numbers import FencingNumbers
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.rollout_states import RolloutStateRecorder
 from monsoonwall.gateway.serving import ServingStack
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.gateway.usage import UsageReporter
 from monsoonwall.logs import make_logger
+from monsoonwall.mesh.board import Board
 from monsoonwall.mesh.peers import Peers
 from monsoonwall.platform.objects import ObjectStore
 
@@ -38,12 +40,15 @@
         own_name: str,
         peers: Peers,
         store: ObjectStore,
+        numbers: FencingNumbers,
         timing: LeaseTiming,
         workers: Sequence[DutyWorker],
         autoscaler: Autoscaler | None,
     ) -> None:
         self._own_name = own_name
         self._peers = peers
+        self._store = store
+        self._numbers = numbers
         self._lease_manager = LeaseManager(
             _SHARD, own_name, store, BootClock(), timing
         )
@@ -51,6 +56,7 @@
         self._autoscaler = autoscaler
         self._lease_task: asyncio.Task[None] | None = None
         self._fencing_number = 0
+        self._store_era = 0
         self._leaving = False
 
     async def run(self) -> None:
@@ -102,13 +108,19 @@
     def _find_holder(self) -> LeaseHolder | None:
         """Return this host as lease holder, or None without a valid lease.
 
-        Resets the workers first if a new term has begun.
+        Resets the workers first if a new term has begun, or if the store may
+        have lost what they wrote.
         """
+        self._lease_manager.observe_number(self._numbers.read_latest())
         term = self._lease_manager.get_term()
         if term is None:
             return None
         if term.fencing_number != self._fencing_number:
+            self._numbers.publish(term.fencing_number)
+        basis = (term.fencing_number, self._store.era)
+        if basis != (self._fencing_number, self._store_era):
             self._fencing_number = term.fencing_number
+            self._store_era = self._store.era
             for worker in self._workers:
                 worker.reset()
         return LeaseHolder(self._own_name, term.fencing_number)
@@ -126,6 +138,7 @@
     record_cache: RecordCache,
     serving: ServingStack,
     peers: Peers,
+    board: Board,
     clock: Clock,
 ) -> DutyTask:
     """Return the duty task with the workers that the settings enable."""
@@ -153,6 +166,7 @@
         settings.host_name,
         peers,
         adapters.objects,
+        FencingNumbers(board, clock),
         LeaseTiming(settings.bounds.lease_seconds),
         workers,
         autoscaler if settings.orders_servers else None,
--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -86,6 +86,7 @@
             self._record_cache,
             self._serving,
             self._mesh.peers,
+            self._mesh.board,
             clock,
         )
 
--- a/tests/decisions/test_leases.py
+++ b/tests/decisions/test_leases.py
@@ -269,6 +269,17 @@
         self.assertEqual(state.term.deadline, 100 + TIMING.use_seconds)
 
 
+class FencingNumberTest(unittest.TestCase):
+    """Take over after the store has lost the last holder's number."""
+
+    def test_number_follows_those_that_the_store_has_lost(self):
+        """A host whose clock is behind took a number that was refused."""
+        state = LeaseState('north', TIMING)
+        state.record_read(0, None, 100)
+        write = state.decide(100, 5, 'token', known_number=7000)
+        self.assertEqual(write.record.fencing_number, 7001)
+
+
 class LeaseTest(LeaseMachine.TestCase):
     """Run the state machine."""
 
