End a term that lapsed before a new era, even if its record is there

A renewal that was sent before its sender knew of a new era may replace another holder's record, since the store gives out the same revisions again. The sender then took the record for its own and renewed it at once, beside the other.

Found by the state machine of leases when it runs together with other modules (Hypothesis draws other examples then): south holds the lease, the store forgets it, north takes it after the wait, south wakes and its renewal fits north's revision. A term goes on into a new era only while it lasts; else its host waits like all others.

The machine shares the numbers in use, as hosts do; without that it finds a lower number after the store has lost the last one.

--- a/src/monsoonwall/decisions/leases.py
+++ b/src/monsoonwall/decisions/leases.py
@@ -247,7 +247,11 @@
 
     def _owns(self, record: LeaseRecord | None) -> bool:
         own = self._own_record
-        return bool(record and own and record.token == own.token)
+        # In a new era a late renewal may have replaced another host's record,
+        # since the store gives out the same revisions again.
+        if record is None or own is None or self._term_era < self._era:
+            return False
+        return record.token == own.token
 
     def _is_forgotten(self, now: float) -> bool:
         """Return whether the store has lost the writes of the current term."""
--- a/tests/decisions/test_leases.py
+++ b/tests/decisions/test_leases.py
@@ -91,6 +91,7 @@
         self.delayed_writes = []
         self.orders_in_flight = []
         self.latest_fencing_number = 0
+        self.used_fencing_number = 0
         self.tokens = 0
 
     def read_clock(self, name):
@@ -101,8 +102,14 @@
         state = self.states[name]
         now = self.read_clock(name)
         self.tokens += 1
-        # Wall clocks differ too; they only make fencing numbers larger.
-        step = state.decide(now, self.clock_offsets[name], str(self.tokens))
+        # Wall clocks differ too; they only make fencing numbers larger. Hosts
+        # share the numbers in use, since the store may lose them.
+        step = state.decide(
+            now,
+            self.clock_offsets[name],
+            str(self.tokens),
+            self.used_fencing_number,
+        )
         if isinstance(step, Read):
             if name in self.disconnected:
                 state.record_failure(now)
@@ -228,6 +235,9 @@
     def send_order(self, name, slow):
         term = self.states[name].term
         if term is not None and term.allows(self.read_clock(name)):
+            self.used_fencing_number = max(
+                self.used_fencing_number, term.fencing_number
+            )
             flight_seconds = TIMING.order_seconds if slow else 0
             arrives_at = self.now + flight_seconds
             self.orders_in_flight.append(Order(term.fencing_number, arrives_at))
