--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -172,7 +172,7 @@
 )
 GATEWAY_REVISION = Gauge(
     'monsoonwall_gateway_revision',
-    'Highest revision adopted, by kind of record.',
+    'Revision last adopted, by kind of record.',
     ('kind',),
 )
 GATEWAY_STORE_LAST_RESPONSE = Gauge(
