Let hosts that know an era for long take a released lease at once

The wait now counts from when the process first knew the era, by any call to the store; hosts note it twice a second whether they compete or not. Whether a term goes on after a read is decided in one place. Two tests of the class.

--- a/src/monsoonwall/control/lease_manager.py
+++ b/src/monsoonwall/control/lease_manager.py
@@ -68,9 +68,14 @@
             return None
         return term
 
-    def observe_number(self, fencing_number: int) -> None:
-        """Take a later fencing number than this one in the next term."""
+    def observe(self, fencing_number: int) -> None:
+        """Note the store's era, and the latest fencing number that is known.
+
+        Call it regularly, also on hosts that do not compete for the lease, so
+        that these need not wait when they begin to.
+        """
         self._known_number = max(self._known_number, fencing_number)
+        self._state.record_era(self._store.era, self._clock.read_monotonic())
 
     async def release(self) -> None:
         """Release the lease so that a successor can take it at once.
--- a/src/monsoonwall/decisions/leases.py
+++ b/src/monsoonwall/decisions/leases.py
@@ -226,9 +226,7 @@
         Versions of different eras differ.
         """
         self._read_at = now + self._timing.poll_seconds
-        if era > self._era:
-            self._era = era
-            self._forgotten_until = now + self._timing.takeover_seconds
+        self.record_era(era, now)
         previous = self._observed
         if previous is None or previous.version != version:
             self._observed = Observation(version, record, now)
@@ -239,27 +237,31 @@
         # because the store has forgotten the holder.
         if sent and sent.era == self._era:
             self._begin_term(sent)
-        elif not self._owns(record):
-            if self._is_forgotten(now):
-                self._renew_at = now
-            else:
-                self._end_term()
+        elif not self._keeps_term(record, now):
+            self._end_term()
+        elif self._term_era < self._era:
+            self._renew_at = now
+
+    def record_era(self, era: int, now: float) -> None:
+        """Record the era of the store as this host knows it.
 
-    def _owns(self, record: LeaseRecord | None) -> bool:
+        Writes of the era before may be lost: a holder that the store has
+        forgotten may still act for as long as a term lasts.
+        """
+        if era > self._era:
+            self._era = era
+            self._forgotten_until = now + self._timing.takeover_seconds
+
+    def _keeps_term(self, record: LeaseRecord | None, now: float) -> bool:
+        """Return whether the current term goes on after a read."""
         own = self._own_record
-        # In a new era a late renewal may have replaced another host's record,
-        # since the store gives out the same revisions again.
-        if record is None or own is None or self._term_era < self._era:
+        if own is None or self._term is None:
             return False
-        return record.token == own.token
-
-    def _is_forgotten(self, now: float) -> bool:
-        """Return whether the store has lost the writes of the current term."""
-        return (
-            self._term is not None
-            and self._term_era < self._era
-            and self._term.allows(now)
-        )
+        if self._term_era < self._era:
+            # The record alone proves nothing: a late renewal may have replaced
+            # another host's, as the same revisions are given out again.
+            return self._term.allows(now)
+        return record is not None and record.token == own.token
 
     def _begin_term(self, sent: _SentWrite) -> None:
         # The other writes depend on an earlier version and can't succeed now.
--- a/src/monsoonwall/gateway/duty_task.py
+++ b/src/monsoonwall/gateway/duty_task.py
@@ -62,6 +62,7 @@
     async def run(self) -> None:
         """Run the duties until cancelled."""
         while True:
+            self._lease_manager.observe(self._numbers.read_latest())
             self._update_candidacy()
             if self._autoscaler is not None:
                 self._autoscaler.record_demand()
@@ -111,7 +112,6 @@
         Resets the workers first if a new term has begun, or if the store may
         have lost what they wrote.
         """
-        self._lease_manager.observe_number(self._numbers.read_latest())
         term = self._lease_manager.get_term()
         if term is None:
             return None
--- a/tests/decisions/test_leases.py
+++ b/tests/decisions/test_leases.py
@@ -17,6 +17,7 @@
 )
 
 from monsoonwall.decisions.leases import (
+    LeaseRecord,
     LeaseState,
     LeaseTiming,
     Read,
@@ -290,6 +291,25 @@
         self.assertEqual(write.record.fencing_number, 7001)
 
 
+class EraTest(unittest.TestCase):
+    """Read a released record on a host that had not competed before."""
+
+    def test_released_lease_is_taken_at_once_in_an_era_known_for_long(self):
+        record = LeaseRecord('south', 'token', 7, released=True)
+        state = LeaseState('north', TIMING)
+        state.record_era(1, 100)
+        now = 100 + TIMING.takeover_seconds
+        state.record_read(5, record, now, era=1)
+        self.assertIsInstance(state.decide(now, 0, 'next'), Write)
+
+    def test_released_lease_is_not_taken_at_once_in_a_new_era(self):
+        """A holder that the store had forgotten still acted."""
+        record = LeaseRecord('south', 'token', 7, released=True)
+        state = LeaseState('north', TIMING)
+        state.record_read(5, record, 100, era=1)
+        self.assertNotIsInstance(state.decide(100, 0, 'next'), Write)
+
+
 class LeaseTest(LeaseMachine.TestCase):
     """Run the state machine."""
 
