Log the return of the store where it is first seen, and date terms by it

The message named only returns that a watch met, not those after a 410. A renewal whose response is read after another call has shown a new era belongs to the era in which it was sent, so the holder knows that the store may have lost it.

--- a/src/monsoonwall/decisions/leases.py
+++ b/src/monsoonwall/decisions/leases.py
@@ -270,7 +270,7 @@
             self._end_term()
             return
         self._own_record = sent.record
-        self._term_era = self._era
+        self._term_era = sent.era
         self._renew_at = sent.sent_at + self._timing.renew_seconds
         self._term = Term(
             sent.record.fencing_number, sent.sent_at + self._timing.use_seconds
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -140,6 +140,8 @@
         now = self._clock.read_monotonic()
         gap_seconds = now - self._responded_at
         restored = self._era not in {None, era}
+        if restored:
+            _log.warning('Store returned from an older copy.', era=era)
         if restored or (self._suspected and gap_seconds > _MIN_OUTAGE_SECONDS):
             self._recovery_ends_at = now + _RECOVERY_SECONDS
         self._suspected = False
@@ -245,11 +247,6 @@
         changes = watched.unwrap()
         if changes.era != self._era:
             # Changes between the copy and the watch's revision are not in it.
-            _log.info(
-                'Store returned from an older copy; listing again.',
-                kind=self._kind,
-                era=changes.era,
-            )
             self._revision = None
             return None
         self._outages.record_response(changes.era)
