--- a/tests/gateway/virtual_gateways.py
+++ b/tests/gateway/virtual_gateways.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 from random import Random
 
 from msgspec import json
@@ -29,7 +30,10 @@
 
 
 class SimulatedStore:
-    """Hold records and their history; calls of ``silenced`` hosts time out."""
+    """Hold records and their history; calls of ``silenced`` hosts time out.
+
+    It can return from an older copy, which begins a new era.
+    """
 
     def __init__(self, loop):
         self._loop = loop
@@ -37,19 +41,44 @@
         self.records = {}
         self.history = []
         self.revision = 1
+        self.first_revision = 1
+        self.era = 0
         self.silenced = set()
 
+    def restore(self, revision):
+        """Return with the content as of a revision, without history."""
+        records = {
+            (record.kind, record.name): record
+            for record in self.history
+            if record.revision <= revision
+        }
+        self.era += 1
+        self.revision = revision
+        self.first_revision = revision
+        self.history = []
+        self.records = {
+            key: replace(kept, era=self.era)
+            for key, kept in records.items()
+            if kept.content is not None
+        }
+        self._wake()
+
     def write(self, kind, name, content):
         """Write a record; without ``content`` it is removed."""
         self.revision += 1
-        record = Record(kind, name, self.revision, content)
+        record = Record(kind, name, self.revision, content, self.era)
         self.history.append(record)
         if content is None:
             self.records.pop((kind, name))
         else:
             self.records[kind, name] = record
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._wake()
+
+    def configure(self, version):
+        """Write a configuration."""
+        self.write(
+            RecordKind.catalogue, 'main', json.encode({'version': version})
+        )
 
     def write_server(self, name, state='ready', born=1):
         """Write the entry of a server."""
@@ -75,6 +104,10 @@
             if record.kind is kind and record.revision > after
         )
 
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def wait_change(self, deadline):
         """Wait for the next change of any record, or for the deadline."""
         remaining_seconds = max(0, deadline - self._loop.time())
@@ -106,16 +139,22 @@
                     if record.kind is kind
                 ),
                 self._store.revision,
+                self._store.era,
             )
         )
 
     async def watch_records(self, kind, after, deadline):
         await asyncio.sleep(CALL_SECONDS)
         silenced = self._host in self._store.silenced
+        era = self._store.era
         while not silenced:
+            if self._store.era != era:
+                return Failure(StoreFailure.lost)
+            if not self._store.first_revision <= after <= self._store.revision:
+                return Failure(StoreFailure.missing)
             changes = self._store.list_changes(kind, after)
             if changes or self._loop.time() >= deadline:
-                return Success(Listing(changes, self._store.revision))
+                return Success(Listing(changes, self._store.revision, era))
             await self._store.wait_change(deadline)
             silenced = self._host in self._store.silenced
         timeout_at = deadline + WATCH_TIMEOUT_SECONDS
@@ -169,3 +208,11 @@
                 for known in cache.list_servers(SERVICE)
             )
         ]
+
+    def list_outdated(self, version):
+        """Return the hosts that have another configuration in force."""
+        return [
+            name
+            for name, cache in self.caches.items()
+            if cache.catalogue is None or cache.catalogue.version != version
+        ]
