--- a/src/monsoonwall/gateway/record_gossip.py
+++ b/src/monsoonwall/gateway/record_gossip.py
@@ -22,7 +22,7 @@
 _FACT_TTL_SECONDS: Final = 3600.0
 # Version, era, revision, and whether the record was listed, written or removed.
 # In this order the greater payload, which the board keeps, is the later record.
-_HEAD: Final = struct.Struct('>QIQc')
+_HEAD: Final = struct.Struct('>QQQc')
 _LISTED: Final = b'*'
 _WRITTEN: Final = b'+'
 _REMOVED: Final = b'-'
