Compress records only when they are published

Each host compressed every record that it adopted, also those that others had published: work by hosts times servers. The head alone decides that, as before.

--- a/src/monsoonwall/gateway/record_gossip.py
+++ b/src/monsoonwall/gateway/record_gossip.py
@@ -32,10 +32,10 @@
 
 def encode_record(record: Record) -> bytes:
     """Encode a record so that a later one is a greater payload."""
+    head = _encode_head(record)
     if record.content is None:
-        return _encode_head(record, _REMOVED)
-    presence = _LISTED if record.listed else _WRITTEN
-    return _encode_head(record, presence) + zlib.compress(record.content)
+        return head
+    return head + zlib.compress(record.content)
 
 
 def decode_record(fact: Fact) -> Record | None:
@@ -60,7 +60,10 @@
         return None
 
 
-def _encode_head(record: Record, presence: bytes) -> bytes:
+def _encode_head(record: Record) -> bytes:
+    presence = _LISTED if record.listed else _WRITTEN
+    if record.content is None:
+        presence = _REMOVED
     return _HEAD.pack(record.version, record.era, record.revision, presence)
 
 
@@ -119,9 +122,10 @@
 
     def _publish(self, record: Record, published: dict[str, bytes]) -> None:
         key = f'{record.kind}/{record.name}'
-        payload = encode_record(record)
         published_head = published.get(key, b'')[: _HEAD.size]
-        if published_head >= payload[: _HEAD.size]:
+        if published_head >= _encode_head(record):
             return
         expires_wall = self._clock.read_wall() + _FACT_TTL_SECONDS
-        self._board.publish_fact(Fact(RECORD_KIND, key, payload, expires_wall))
+        self._board.publish_fact(
+            Fact(RECORD_KIND, key, encode_record(record), expires_wall)
+        )
