Share the set-up of two tests of eras, and word a reason plainly

Found while reading the change once more: two tests of the client lost an object in the same seven lines, and a comment of the leases was hard to follow.

--- a/src/monsoonwall/decisions/leases.py
+++ b/src/monsoonwall/decisions/leases.py
@@ -233,8 +233,8 @@
         sent = record and self._uncertain_writes.get(
             (record.token, record.beat)
         )
-        # A write that was sent in an earlier era may have replaced nothing only
-        # because the store has forgotten the holder.
+        # A write sent in an earlier era begins no term: it may have succeeded
+        # only because the store had forgotten the holder.
         if sent and sent.era == self._era:
             self._begin_term(sent)
         elif not self._keeps_term(record, now):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -76,15 +76,22 @@
         changes = (await self.watch(self.store.revision)).unwrap()
         self.assertEqual(changes.records, ())
 
-    async def test_write_based_on_an_earlier_era_is_not_sent(self):
-        """A revision that is given out again let it replace other content."""
+    async def write_and_lose(self):
+        """Return the version of an object that the store then loses.
+
+        Another object with the same key and revision takes its place.
+        """
         content = self.store.copy()
         created = await self.client.create(
             'leases/duties', b'"a"', CallReason.lease
         )
-        version = created.unwrap().version
         self.store.restore(content)
         self.store.put('monsoonwall-leases', 'duties', 'b')
+        return created.unwrap().version
+
+    async def test_write_based_on_an_earlier_era_is_not_sent(self):
+        """A revision that is given out again let it replace other content."""
+        version = await self.write_and_lose()
         await self.client.read('leases/duties', CallReason.lease)
         written = await self.client.update(
             'leases/duties', b'"c"', version, CallReason.lease
@@ -93,13 +100,7 @@
         self.assertEqual(self.client.era, 1)
 
     async def test_write_that_meets_a_new_era_may_have_taken_effect(self):
-        content = self.store.copy()
-        created = await self.client.create(
-            'leases/duties', b'"a"', CallReason.lease
-        )
-        version = created.unwrap().version
-        self.store.restore(content)
-        self.store.put('monsoonwall-leases', 'duties', 'b')
+        version = await self.write_and_lose()
         written = await self.client.update(
             'leases/duties', b'"c"', version, CallReason.lease
         )
