--- a/review/harness/world.py
+++ b/review/harness/world.py
@@ -589,27 +589,31 @@
     ``case(world, trouble)`` returns the lines that tell how the rule was
     broken, none if it held.
     """
-    trouble = os.environ.get('TROUBLE', '1') != '0'
-
-    async def play():
-        world = World(Path(folder), page)
-        try:
-            async with asyncio.timeout(110):
-                broken = await case(world, trouble)
-            for line in broken:
-                world.record.write('BROKEN', line)
-            world.record.write('result', 'broken' if broken else 'held')
-            keep = os.environ.get('REVIEW_LOGS')
-            if keep:
-                for log in world.folder.glob('*.log'):
-                    (Path(keep) / log.name).write_bytes(log.read_bytes())
-            return 1 if broken else 0
-        except (CannotRunError, TimeoutError, OSError) as error:
-            world.record.write('could not run', repr(error))
-            return 2
-        finally:
-            world.close()
-
-    status = asyncio.run(play())
+    status = asyncio.run(_play(case, Path(folder), page))
     print({0: 'held', 1: 'broken', 2: 'could not run'}[status])
     sys.exit(status)
+
+
+async def _play(case, folder, page):
+    trouble = os.environ.get('TROUBLE', '1') != '0'
+    world = World(folder, page)
+    loop = asyncio.get_running_loop()
+    # The hosts must end as well if the case is stopped.
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    try:
+        async with asyncio.timeout(110):
+            broken = await case(world, trouble)
+    except (
+        CannotRunError,
+        TimeoutError,
+        OSError,
+        asyncio.CancelledError,
+    ) as error:
+        world.record.write('could not run', repr(error))
+        return 2
+    finally:
+        world.close()
+    for line in broken:
+        world.record.write('BROKEN', line)
+    world.record.write('result', 'broken' if broken else 'held')
+    return 1 if broken else 0
