--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,173 +1,156 @@
-"""The hosts that watch the store lose power; the others act on old settings.
-
-Eight hosts of one zone. Three of them read the store, the others learn of
-changes from these. Those three lose power, and the operator then moves a route
-to another service and takes a key away. The rule is checked at the hosts that
-nothing has happened to.
+"""A late copy of a rejection is taken as the answer to the next sending.
+
+The server of a service rejects a part of the requests, as busy ones do: 503
+with ``X-Monsoonwall-Not-Executed`` and the request's id. Some answers are
+followed by a second copy of themselves, which arrives where the next answer on
+that channel is expected. The rules are checked at the server and the clients: a
+request that isn't idempotent runs once at most, and not at all if it is
+answered 503.
 """
 
 import asyncio
-import signal
 import sys
+from collections import Counter
 from pathlib import Path
+from random import Random
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'harness'))
 
-from world import LIMITS, CannotRunError, Server, run_case
+from world import ATTEMPT, LIMITS, Server, make_message, run_case
 
-HOSTS = tuple(f'edge-{number}' for number in range(1, 9))
+HOSTS = ('edge-1', 'edge-2')
 ZONE = 'hsinchu-a'
-CONFIG_SECONDS = 2.0
-CONTACT_SECONDS = 3.0
-DARK_SECONDS = 3.5
-OBSERVED_SECONDS = 7.0
-
-
-def make_configuration(version, service, keys):
-    """Return a configuration with one route."""
-    return {
-        'version': version,
-        'routes': [
-            {
-                'name': 'stock-reserve',
-                'host': 'desk.example',
-                'path_prefix': '/reserve/',
-                'kind': 'non_idempotent',
-                'timeout_ms': 1500,
-                'target_latency_ms': 400,
-                'priority': 0,
-                'service': service,
-                'max_attempts': 1,
-                'auth_exempt': False,
-            }
-        ],
-        'services': [
-            {'name': name, 'health_path': '/health', 'max_connections': 100}
-            for name in ('ledger-old', 'ledger-new')
-        ],
-        'limits': LIMITS,
-        'tenants': [
-            {
-                'name': 'depot',
-                'api_keys': keys,
-                'priority': 1,
-                'unit': 'token_count',
-                'plain_tokens': 1,
-                'rate_per_s': 100000,
-                'burst': 100000,
-            }
-        ],
-    }
-
-
-async def find_readers(world):
-    """Return the hosts that watch the store."""
-    seen = set()
-    for _ in range(30):
-        seen.update(
-            name
-            for name in HOSTS
-            if world.store.watching.get(
-                (world.hosts[name]['store'], 'config'), 0
-            )
+REQUESTS_PER_SECOND = 40
+# Doses of the site file: srv_grey x = 0.45; garble, extra late, share = 0.6,
+# x = 0.03, for 5 s. They come ten times.
+REJECTED = 0.45
+REPEATED = 0.03
+WINDOWS = 10
+WINDOW_SECONDS = 5.0
+PAUSE_SECONDS = 1.0
+NOT_RUN = (408, 421, 429, 503)
+
+CONFIGURATION = {
+    'version': 1,
+    'routes': [
+        {
+            'name': 'stock-reserve',
+            'host': 'desk.example',
+            'path_prefix': '/reserve/',
+            'kind': 'non_idempotent',
+            'timeout_ms': 1500,
+            'target_latency_ms': 400,
+            'priority': 0,
+            'service': 'refill-ledger',
+            'max_attempts': 2,
+            'auth_exempt': False,
+        }
+    ],
+    'services': [
+        {
+            'name': 'refill-ledger',
+            'health_path': '/health',
+            'max_connections': 100,
+        }
+    ],
+    'limits': LIMITS,
+    'tenants': [
+        {
+            'name': 'depot',
+            'api_keys': ['key'],
+            'priority': 1,
+            'unit': 'token_count',
+            'plain_tokens': 1,
+            'rate_per_s': 100000,
+            'burst': 100000,
+        }
+    ],
+}
+
+
+class GreyServer(Server):
+    """A server that rejects some requests and may answer twice."""
+
+    def __init__(self, world, name, repeating):
+        super().__init__(
+            world, name, 'refill-ledger', ZONE, work_ms=90, slots=6
         )
-        await asyncio.sleep(0.1)
-    return sorted(seen)
-
-
-async def lose_power(world, names):
-    """Stop hosts at once, and start them again after a time."""
-    for name in names:
-        # A stopped process answers nothing, like a machine without power.
-        world.signal_host(name, signal.SIGSTOP)
-    await asyncio.sleep(DARK_SECONDS)
-    for name in names:
-        world.signal_host(name, signal.SIGKILL)
-        world.signal_host(name, signal.SIGCONT)
-        world.processes[name].wait()
-        world.start_host(name)
-
-
-async def send_pair(world, name):
-    """Send a request with the kept key, and one with the withdrawn key."""
-    return await asyncio.gather(
-        *(send_one(world, name, key) for key in ('kept-key', 'withdrawn-key'))
-    )
-
-
-async def send_one(world, name, key):
-    """Send a reservation to a host."""
-    attempt = world.make_id()
-    answer = await world.request(
-        name, '/reserve/1', attempt, key, deadline_ms=1500
-    )
-    return name, key, attempt, answer
+        self.random = Random()
+        self.repeating = repeating
+        self.grey = False
+        self.held = {}
+
+    async def answer(self, message, reader, writer):
+        """Answer one request, after the late copy of an earlier answer."""
+        first, headers, _ = message
+        attempt = headers[ATTEMPT.lower()]
+        late = self.held.pop(writer, None)
+        if late is not None:
+            writer.write(late)
+            self.world.record.write('late copy before', attempt, self.name)
+        if headers.get('x-monsoonwall-target-instance') != self.name:
+            writer.write(make_message(421))
+            return
+        if self.grey and self.random.random() < REJECTED:
+            self.world.record.write('rejected', attempt, 'at', self.name)
+            sent = make_message(
+                503,
+                b'',
+                [(ATTEMPT, attempt), ('X-Monsoonwall-Not-Executed', '1')],
+            )
+        else:
+            self.record_run(attempt, first, headers, b'')
+            await asyncio.sleep(self.work_ms / 1000)
+            sent = self.make_answer(attempt)
+        writer.write(sent)
+        repeated = self.grey and self.random.random() < REPEATED
+        if self.repeating and repeated:
+            self.held[writer] = sent
+
+
+async def send_requests(world, seconds):
+    """Send requests at a steady rate; return their answers."""
+    sent = []
+    until = world.record.read_time() + seconds
+    while world.record.read_time() < until:
+        host = HOSTS[len(sent) % len(HOSTS)]
+        attempt = world.make_id()
+        request = world.request(host, '/reserve/1', attempt, deadline_ms=1500)
+        sent.append((attempt, asyncio.create_task(request)))
+        await asyncio.sleep(1 / REQUESTS_PER_SECOND)
+    return [(attempt, await answer) for attempt, answer in sent]
 
 
 async def case(world, trouble):
     """Play the case."""
     for name in HOSTS:
         await world.add_host(name, ZONE, [ZONE])
-    world.store.put(
-        'config',
-        'main',
-        make_configuration(1, 'ledger-old', ['kept-key', 'withdrawn-key']),
-    )
-    servers = [
-        Server(world, f'i-{service}-{number}', service, ZONE)
-        for service in ('ledger-old', 'ledger-new')
-        for number in (1, 2)
-    ]
-    for server in servers:
-        await server.start()
+    world.store.put('config', 'main', CONFIGURATION)
+    server = GreyServer(world, 'i-1', trouble)
+    await server.start()
     for name in HOSTS:
         world.start_host(name, first=True)
     await world.wait_ready(HOSTS)
-    # All hosts have started and been in touch for longer than contact_ms.
-    await asyncio.sleep(3 * CONTACT_SECONDS)
-    readers = await find_readers(world)
-    calm = [name for name in HOSTS if name not in readers]
-    world.record.write('readers of the store', *readers)
-    if not calm:
-        raise CannotRunError('every host reads the store')
-    power = None
-    if trouble:
-        power = asyncio.create_task(lose_power(world, readers))
-    await asyncio.sleep(0.1)
-    world.store.put(
-        'config', 'main', make_configuration(2, 'ledger-new', ['kept-key'])
-    )
-    acknowledged_at = world.record.read_time()
-    world.record.write('version 2 acknowledged')
-    sent = []
-    while world.record.read_time() < acknowledged_at + OBSERVED_SECONDS:
-        pairs = await asyncio.gather(*(send_pair(world, name) for name in calm))
-        sent += [request for pair in pairs for request in pair]
-        await asyncio.sleep(0.1)
-    if power is not None:
-        await power
-    return list_broken(servers, sent, acknowledged_at)
-
-
-def list_broken(servers, sent, acknowledged_at):
-    """Return the requests that only version 1 allows, sent too late."""
-    runs = {
-        attempt: server.service
-        for server in servers
-        for _, attempt in server.runs
-    }
-    broken = []
-    for name, key, attempt, answer in sent:
-        late = answer.sent_at - acknowledged_at
-        stale = runs.get(attempt) == 'ledger-old' or (
-            key == 'withdrawn-key' and attempt in runs
-        )
-        if late > CONFIG_SECONDS and stale:
-            broken.append(
-                f'{attempt}, sent {late:.2f} s after the acknowledgement to '
-                f'{name} with {key}, ran at {runs[attempt]}'
-            )
-    return broken
+    await asyncio.sleep(5)
+    answers = []
+    for _ in range(WINDOWS):
+        server.grey = True
+        answers += await send_requests(world, WINDOW_SECONDS)
+        server.grey = False
+        answers += await send_requests(world, PAUSE_SECONDS)
+    world.record.write(Counter(answer.status for _, answer in answers))
+    runs = Counter(attempt for _, attempt in server.runs)
+    twice = [
+        f'TWICE: {attempt} ran {count} times'
+        for attempt, count in runs.items()
+        if count > 1
+    ]
+    refused = [
+        f'REFUSED: {attempt} was answered {answer.status} and has run'
+        for attempt, answer in answers
+        if answer.status in NOT_RUN and attempt in runs
+    ]
+    return twice + refused
 
 
 run_case(case, Path(__file__).resolve().parent)
