--- a/review/harness/world.py
+++ b/review/harness/world.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +21,10 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 LOOPBACK = '127.0.0.1'
+PORTS = (14_000, 32_000)
+_found_ports = set()
+# Handlers that wait for ever are kept, so that their channels stay open.
+_handlers = set()
 REASONS = {200: 'OK', 404: 'Not Found', 409: 'Conflict', 410: 'Gone'}
 SEAL = 'X-Monsoonwall-Response-Seal'
 ATTEMPT = 'X-Monsoonwall-Attempt-Id'
@@ -58,10 +63,18 @@
 
 
 def find_port():
-    """Return a free loopback port."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+    """Return a free loopback port below the range of outgoing channels."""
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _found_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        _found_ports.add(port)
+        return port
 
 
 class Record:
@@ -166,6 +179,7 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, reader, writer):
+        _handlers.add(asyncio.current_task())
         port = writer.get_extra_info('sockname')[1]
         try:
             while (message := await read_message(reader)) is not None:
@@ -333,6 +347,7 @@
         self.world.store.put('servers', self.name, spec)
 
     async def _serve(self, reader, writer):
+        _handlers.add(asyncio.current_task())
         self.writers.add(writer)
         try:
             while (message := await read_message(reader)) is not None:
