Resume an unframed stream that was stopped for a move

Cause: EventStreamWriter.finish took every such stream that ends between two events for whole, and Run.wait_for_move looked at the move only if the attempt had failed. The host itself had stopped the run: the call was answered 200 with a handle 0.02 s later, and the copy was never used. Ruled out: a loss of events on the way (the engine's record shows the last event sent, and the caller got it), and a finished run (the engine records that it was stopped).

Now an unframed end waits for the move of the run. If the engine may have stopped it, the stream is not whole: the run resumes from the copied state, or the caller's stream is cut if there is none. Only "no such run" says that the stream ended by itself.

--- a/src/monsoonwall/gateway/engines.py
+++ b/src/monsoonwall/gateway/engines.py
@@ -10,14 +10,16 @@
 class MoveResult:
     """Result of stopping a run and copying its state to another server.
 
-    ``handle`` identifies the saved state at the source and is empty if the run
-    was not stopped. ``copied`` is true if the target has the state as well.
-    ``detail`` describes a failure.
+    ``handle`` identifies the saved state at the source and is empty if there
+    is none. ``copied`` is true if the target has the state as well.
+    ``may_have_stopped`` is false only if the source surely did not stop the
+    run. ``detail`` describes a failure.
     """
 
     handle: str = ''
     copied: bool = False
     detail: str = ''
+    may_have_stopped: bool = True
 
 
 class EngineCalls(ABC):
--- a/src/monsoonwall/gateway/proxy.py
+++ b/src/monsoonwall/gateway/proxy.py
@@ -120,7 +120,7 @@
             self._dependencies.runs.add(run)
             try:
                 outcome, record = await self._send(
-                    state, run.selected, moved and moved.continuation
+                    state, run, moved and moved.continuation
                 )
             finally:
                 self._dependencies.runs.remove(run)
@@ -135,13 +135,13 @@
     async def _send(
         self,
         state: RequestState,
-        selected: SelectedServer,
+        run: Run,
         continuation: Continuation | None,
     ) -> tuple[AttemptResult, AttemptRecord]:
-        server = selected.server
+        server = run.selected.server
         active_attempt = self._dependencies.loads.begin(
             server,
-            selected.candidate,
+            run.selected.candidate,
             state.admitted.priority,
             state.suspect,
         )
@@ -151,7 +151,7 @@
         try:
             outcome = await self._dependencies.sender.send(
                 _make_attempt(state, server, continuation),
-                self._make_response_writer(state, server, active_attempt),
+                self._make_response_writer(run, active_attempt),
                 self._choose_response_deadline(state),
             )
         finally:
@@ -175,17 +175,24 @@
 
     def _make_response_writer(
         self,
-        state: RequestState,
-        server: BackendServer,
+        run: Run,
         active_attempt: ActiveAttempt,
     ) -> ResponseWriter:
+        state = run.request_state
         on_start = partial(
-            self._record_response_start, state, server, active_attempt
+            self._record_response_start,
+            state,
+            run.selected.server,
+            active_attempt,
         )
         dialect = self._dependencies.dialect
         if state.admitted.route.kind is RouteKind.streaming:
             return EventStreamWriter(
-                state.caller, dialect, state.progress, on_start
+                state.caller,
+                dialect,
+                state.progress,
+                on_start,
+                run.may_have_been_stopped,
             )
         return BufferedResponseWriter(state.caller, dialect, on_start)
 
--- a/src/monsoonwall/gateway/response_writers.py
+++ b/src/monsoonwall/gateway/response_writers.py
@@ -1,6 +1,6 @@
 """Relay successful responses to callers."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from monsoonwall.gateway.callers import Caller
 from monsoonwall.gateway.dialect import Dialect
@@ -9,6 +9,8 @@
 from monsoonwall.transport.messages import Head, ResponseEnding
 
 StartCallback = Callable[[], None]
+# Returns whether the run may have been stopped before its end.
+StopCheck = Callable[[], Awaitable[bool]]
 
 
 class BufferedResponseWriter(ResponseWriter):
@@ -32,7 +34,7 @@
         """Buffer a part of the body."""
         self._pieces.append(content)
 
-    def finish(self, ending: ResponseEnding) -> bool:
+    async def finish(self, ending: ResponseEnding) -> bool:
         """Relay the response if it is complete."""
         if ending is ResponseEnding.broken or self._head is None:
             return False
@@ -73,11 +75,13 @@
         dialect: Dialect,
         progress: StreamProgress,
         on_start: StartCallback,
+        may_have_been_stopped: StopCheck,
     ) -> None:
         self._caller = caller
         self._dialect = dialect
         self._progress = progress
         self._on_start = on_start
+        self._may_have_been_stopped = may_have_been_stopped
         self._splitter = EventSplitter()
         self._has_events = False
         self._head: Head | None = None
@@ -97,18 +101,25 @@
                     self._progress.last_event_id = event.event_id
                 self._caller.write(event.content)
 
-    def finish(self, ending: ResponseEnding) -> bool:
+    async def finish(self, ending: ResponseEnding) -> bool:
         """Complete the caller's stream if the server's stream is complete."""
         if ending is ResponseEnding.broken or self._splitter.partial:
             return False
-        # A server that breaks off an unframed stream ends inside an event, or
-        # before the first one.
-        if ending is ResponseEnding.unframed and not self._has_events:
+        if ending is ResponseEnding.unframed and not await self._is_whole():
             return False
         self._send_head()
         self._caller.finish()
         return True
 
+    async def _is_whole(self) -> bool:
+        """Return whether an unframed stream without a partial event is whole.
+
+        A server that breaks off such a stream ends it inside an event, or
+        before the first one. A run that is stopped for a move ends its stream
+        between two events as well.
+        """
+        return self._has_events and not await self._may_have_been_stopped()
+
     def _send_head(self) -> None:
         self._on_start()
         if not self._caller.started and self._head is not None:
--- a/src/monsoonwall/gateway/run_moves.py
+++ b/src/monsoonwall/gateway/run_moves.py
@@ -10,7 +10,7 @@
 from monsoonwall.gateway.model import RouteKind
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.records import Record, RecordKind
-from monsoonwall.gateway.runs import MovedRun, Run, RunRegistry
+from monsoonwall.gateway.runs import MovedRun, Run, RunMove, RunRegistry
 from monsoonwall.gateway.server_selection import SelectedServer, ServerSelector
 from monsoonwall.logs import make_logger
 from monsoonwall.metrics import STREAM_MOVES
@@ -82,13 +82,13 @@
             if movable and streaming and run.request_state.progress.events:
                 run.move_task = asyncio.create_task(self._move(run))
 
-    async def _move(self, run: Run) -> MovedRun | None:
+    async def _move(self, run: Run) -> RunMove:
         source = run.selected.server
         target = self._server_selector.choose_move_target(
             run.request_state, source.name
         )
         if target is None:
-            return None
+            return RunMove()
         move_result = await self._engines.move_run(
             run.request_state.request_id, source, target.server
         )
@@ -102,14 +102,18 @@
             events=run.request_state.progress.events,
             copied=move_result.copied,
             stopped=bool(move_result.handle),
+            may_have_stopped=move_result.may_have_stopped,
             detail=move_result.detail,
         )
         if not move_result.handle:
-            return None
+            return RunMove(move_result.may_have_stopped)
         # A stopped run whose state was not copied resumes only at its source.
         selected = target if move_result.copied else run.selected
         self._server_selector.record_move(selected.server)
-        return MovedRun(
-            SelectedServer(selected.server, selected.candidate),
-            Continuation(source.address, move_result.handle),
+        return RunMove(
+            may_have_stopped=True,
+            moved_run=MovedRun(
+                SelectedServer(selected.server, selected.candidate),
+                Continuation(source.address, move_result.handle),
+            ),
         )
--- a/src/monsoonwall/gateway/runs.py
+++ b/src/monsoonwall/gateway/runs.py
@@ -18,19 +18,42 @@
     continuation: Continuation
 
 
+@dataclass(frozen=True)
+class RunMove:
+    """Hold how a move ended.
+
+    ``may_have_stopped`` tells whether the source may have stopped the run, and
+    ``moved_run`` where the run resumes, None if it does not.
+    """
+
+    may_have_stopped: bool = False
+    moved_run: MovedRun | None = None
+
+
 @dataclass(eq=False)
 class Run:
     """Hold one attempt in progress; ``move_task``, if set, moves it."""
 
     request_state: RequestState
     selected: SelectedServer
-    move_task: asyncio.Task[MovedRun | None] | None = None
+    move_task: asyncio.Task[RunMove] | None = None
+
+    async def may_have_been_stopped(self) -> bool:
+        """Wait for the move, if any; return whether it may have ended the run.
+
+        The stream of a run that was stopped may look complete.
+        """
+        if self.move_task is None:
+            return False
+        run_move = await self.move_task
+        return run_move.may_have_stopped
 
     async def wait_for_move(self, outcome: AttemptResult) -> MovedRun | None:
         """Wait for the move, if any; return where the run resumes, or None."""
         if self.move_task is None or outcome.ending is AttemptEnding.completed:
             return None
-        return await self.move_task
+        run_move = await self.move_task
+        return run_move.moved_run
 
 
 class RunRegistry:
--- a/src/monsoonwall/gateway/sending.py
+++ b/src/monsoonwall/gateway/sending.py
@@ -74,7 +74,7 @@
         """Receive a part of the body."""
 
     @abstractmethod
-    def finish(self, ending: ResponseEnding) -> bool:
+    async def finish(self, ending: ResponseEnding) -> bool:
         """Receive the end; return whether the response is complete."""
 
 
@@ -219,11 +219,11 @@
             if isinstance(message, BodyChunk):
                 self._writer.write(message.content)
             elif isinstance(message, ResponseEnding):
-                return self._finish_relay(message)
+                return await self._finish_relay(message)
 
-    def _finish_relay(self, ending: ResponseEnding) -> AttemptResult:
+    async def _finish_relay(self, ending: ResponseEnding) -> AttemptResult:
         self.reusable = ending is ResponseEnding.complete
-        if self._writer.finish(ending):
+        if await self._writer.finish(ending):
             return AttemptResult(AttemptEnding.completed)
         return AttemptResult(
             AttemptEnding.crashed, f'the answer ended {ending}'
--- a/src/monsoonwall/platform/engines.py
+++ b/src/monsoonwall/platform/engines.py
@@ -1,5 +1,6 @@
 """HTTP client that moves runs between model engines."""
 
+from http import HTTPStatus
 from typing import Final
 
 from msgspec import DecodeError, Struct, ValidationError, json
@@ -11,7 +12,6 @@
 
 # A copy takes milliseconds, but may wait for other copies on the same link.
 _MOVE_TIMEOUT_SECONDS: Final = 0.8
-_DONE_STATUS: Final = 200
 
 
 class _MoveResponse(Struct):
@@ -50,5 +50,8 @@
     except (DecodeError, ValidationError) as error:
         return MoveResult(detail=f'{status} {error}')
     return MoveResult(
-        str(response.handle), status == _DONE_STATUS, f'status {status}'
+        str(response.handle),
+        status == HTTPStatus.OK,
+        f'status {status}',
+        may_have_stopped=status != HTTPStatus.NOT_FOUND,
     )
--- a/tests/gateway/test_proxy.py
+++ b/tests/gateway/test_proxy.py
@@ -487,9 +487,20 @@
         self.assertEqual(caller.ending, 'cut')
 
     async def run_move(self, move_result):
-        self.engines.move_result = move_result
         self.add_stream(self.primary, 1, 2, 0.4)
         self.primary.responses[-1].append('close')
+        return await self.move_current_run(move_result)
+
+    async def run_move_of_unframed_stream(self, move_result):
+        # The engine closes the stream between two events.
+        head = make_event(1) + make_event(2)
+        self.primary.responses.append(
+            [UNFRAMED_STREAM_HEAD, head, 0.4, 'close']
+        )
+        return await self.move_current_run(move_result)
+
+    async def move_current_run(self, move_result):
+        self.engines.move_result = move_result
         mover_task = asyncio.create_task(self.run_mover.run())
         serving_task = asyncio.create_task(self.send_request('/draft/1'))
         await asyncio.sleep(0.1)
@@ -525,3 +536,26 @@
         caller = await self.run_move(MoveResult(detail='status 404'))
         self.assertEqual(caller.ending, 'cut')
         self.assertEqual(self.count_arrivals(), [1, 0])
+
+    async def test_unframed_stream_stopped_for_a_move_ended_as_complete(self):
+        """Callers got the first events of a moved run as the whole stream."""
+        self.add_stream(self.secondary, 3, 4, STREAM_END)
+        caller = await self.run_move_of_unframed_stream(
+            MoveResult('h1', copied=True)
+        )
+        self.assertEqual(caller.body, self.expected)
+        self.assertEqual(caller.ending, 'finished')
+
+    async def test_unframed_stream_is_cut_if_the_move_is_in_doubt(self):
+        """Callers got a stream that may have been stopped as complete."""
+        caller = await self.run_move_of_unframed_stream(
+            MoveResult(detail='TimeoutError()')
+        )
+        self.assertEqual(caller.ending, 'cut')
+
+    async def test_unframed_stream_that_ends_before_its_move_is_whole(self):
+        caller = await self.run_move_of_unframed_stream(
+            MoveResult(detail='status 404', may_have_stopped=False)
+        )
+        self.assertEqual(caller.body, make_event(1) + make_event(2))
+        self.assertEqual(caller.ending, 'finished')
