Send no request twice on one channel to a server

Cause: an id names a request, not a sending. After a rejection the channel went back to the pool, the same request was sent again on it, and the second copy of the rejection, with the right id, was taken as the response to that sending. A rejection without an id was taken as the response to any request. Ruled out: a wrong id (each copy bears its own request's id in the server's record), and a server that runs what it rejects (runs are recorded after the decision to reject).

Now a request never uses a channel that has carried it, and a channel on which a response without an id came is closed. The pool keeps the excluded channels for other requests.

--- a/src/monsoonwall/gateway/dialect.py
+++ b/src/monsoonwall/gateway/dialect.py
@@ -24,7 +24,11 @@
 
 @dataclass(frozen=True)
 class Attempt:
-    """Describe one attempt of a request; the deadline is monotonic."""
+    """Describe one attempt of a request; the deadline is monotonic.
+
+    ``used_channels`` holds the serials of the channels that carried earlier
+    attempts of the request and are still open.
+    """
 
     request: CallerRequest
     server: BackendServer
@@ -33,6 +37,7 @@
     priority: int | None = None
     last_event_id: str = ''
     continuation: Continuation | None = None
+    used_channels: frozenset[int] = frozenset()
 
 
 @dataclass(frozen=True)
--- a/src/monsoonwall/gateway/pool.py
+++ b/src/monsoonwall/gateway/pool.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -38,17 +38,19 @@
         self._idle: dict[str, deque[_IdleChannel]] = {}
 
     async def acquire(
-        self, server: BackendServer, timeout_seconds: float
+        self,
+        server: BackendServer,
+        timeout_seconds: float,
+        excluded: Collection[int] = (),
     ) -> Channel:
-        """Return an idle or new channel; raises OSError if none opens."""
-        idle = self._idle.get(_make_key(server))
-        now = self._clock.read_monotonic()
-        while idle:
-            idle_channel = idle.pop()
-            if idle_channel.channel.is_usable and now < idle_channel.close_at:
-                GATEWAY_CHANNELS.labels('reused').inc()
-                return idle_channel.channel
-            idle_channel.channel.close()
+        """Return an idle or new channel; raises OSError if none opens.
+
+        ``excluded`` holds the serials of channels that must not be used.
+        """
+        channel = self._take_idle(server, excluded)
+        if channel is not None:
+            GATEWAY_CHANNELS.labels('reused').inc()
+            return channel
         GATEWAY_CHANNELS.labels('opened').inc()
         return await open_channel(
             server.address, timeout_seconds, MAX_RESPONSE_BYTES
@@ -93,6 +95,22 @@
             for idle_channel in self._idle.pop(key):
                 idle_channel.channel.close()
 
+    def _take_idle(
+        self, server: BackendServer, excluded: Collection[int]
+    ) -> Channel | None:
+        """Remove and return the newest usable channel, if there is one."""
+        idle = self._idle.get(_make_key(server), deque())
+        now = self._clock.read_monotonic()
+        for idle_channel in tuple(reversed(idle)):
+            channel = idle_channel.channel
+            if channel.serial in excluded:
+                continue
+            idle.remove(idle_channel)
+            if channel.is_usable and now < idle_channel.close_at:
+                return channel
+            channel.close()
+        return None
+
     async def run(self) -> None:
         """Close channels that have expired or received unsolicited bytes.
 
--- a/src/monsoonwall/gateway/proxy.py
+++ b/src/monsoonwall/gateway/proxy.py
@@ -157,6 +157,8 @@
         finally:
             self._dependencies.loads.end(server, active_attempt)
         state.possible_runs -= int(not outcome.may_have_run)
+        if outcome.open_channel is not None:
+            state.used_channels.add(outcome.open_channel)
         if outcome.ending is AttemptEnding.failed:
             state.failure_response = outcome.reply
             self._record_response_start(state, server, active_attempt)
@@ -252,6 +254,7 @@
         last_event_id=state.progress.last_event_id
         or admitted.request.last_event_id,
         continuation=continuation,
+        used_channels=frozenset(state.used_channels),
     )
 
 
--- a/src/monsoonwall/gateway/request_state.py
+++ b/src/monsoonwall/gateway/request_state.py
@@ -36,7 +36,8 @@
     """Hold the state of one request across its attempts.
 
     ``possible_runs`` counts the attempts that a server may have executed;
-    ``tried_servers`` names the servers of all attempts. ``uses_new_version``
+    ``tried_servers`` names the servers of all attempts, and ``used_channels``
+    holds the serials of their channels that are open. ``uses_new_version``
     tells whether a roll-out assigns the request to the new version; it is
     None until a roll-out has been consulted. ``suspect`` tells whether servers
     have crashed while running the same content. ``attempt_endings`` lists
@@ -49,6 +50,7 @@
     caller: Caller
     progress: StreamProgress = field(default_factory=StreamProgress)
     tried_servers: list[str] = field(default_factory=list)
+    used_channels: set[int] = field(default_factory=set)
     attempt_endings: list[str] = field(default_factory=list)
     possible_runs: int = 0
     first_response_at: float | None = None
--- a/src/monsoonwall/gateway/sending.py
+++ b/src/monsoonwall/gateway/sending.py
@@ -3,7 +3,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Final
 
@@ -34,11 +34,13 @@
     """Hold how an attempt ended.
 
     ``reply`` is the response of a server that failed or refused the attempt.
+    ``open_channel`` is the serial of the channel if it was kept open.
     """
 
     ending: AttemptEnding
     detail: str = ''
     reply: Reply | None = None
+    open_channel: int | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -95,9 +97,13 @@
         """Send an attempt; its response must start before the deadline.
 
         Closes the channel when cancelled, which also stops the server's work.
+        Never sends a request twice on one channel: a server may repeat its
+        response late, and the copy bears the same id as the next response.
         """
         try:
-            channel = await self.pool.acquire(attempt.server, _CONNECT_SECONDS)
+            channel = await self.pool.acquire(
+                attempt.server, _CONNECT_SECONDS, attempt.used_channels
+            )
         except OSError as error:
             return AttemptResult(AttemptEnding.unreachable, str(error))
         now = self._clock.read_monotonic()
@@ -116,11 +122,11 @@
         except BaseException:
             channel.close()
             raise
-        if reader.reusable:
-            self.pool.release(attempt.server, channel, reader.response_info)
-        else:
+        if not reader.reusable:
             channel.close()
-        return outcome
+            return outcome
+        self.pool.release(attempt.server, channel, reader.response_info)
+        return replace(outcome, open_channel=channel.serial)
 
 
 class _ResponseReader:
@@ -203,7 +209,11 @@
         self, head: Head, ending: AttemptEnding
     ) -> AttemptResult:
         reply = await self._channel.receive_rest(head)
-        self.reusable = reply.ending is ResponseEnding.complete
+        # A late copy of a response without an id could not be told from the
+        # response to the next request.
+        self.reusable = reply.ending is ResponseEnding.complete and bool(
+            self.response_info.attempt_id
+        )
         detail = f'status {head.status}'
         if (
             ending is AttemptEnding.failed
--- a/src/monsoonwall/transport/channels.py
+++ b/src/monsoonwall/transport/channels.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from itertools import count
 from typing import Final
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -34,6 +35,8 @@
 
 Message = Head | BodyChunk | ResponseEnding
 
+_serial_numbers = count()
+
 
 class _Receiver(HTTPMessageDelegate):
     """Queue the parts of one response as tornado parses them."""
@@ -80,12 +83,16 @@
 
 
 class Channel:
-    """One connection, used for one exchange after the other."""
+    """One connection, used for one exchange after the other.
+
+    ``serial`` is unique among the channels of this process.
+    """
 
     def __init__(
         self, address: str, stream: ChannelStream, max_bytes: int
     ) -> None:
         self.address = address
+        self.serial = next(_serial_numbers)
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=_MAX_HEADER_BYTES, max_body_size=max_bytes
         )
--- a/tests/gateway/test_proxy.py
+++ b/tests/gateway/test_proxy.py
@@ -201,10 +201,12 @@
             Record(RecordKind.server, f'i-{index}', revision, json.encode(spec))
         )
 
-    def make_request(self, path, key='key', seconds=1.0, **more):
+    def make_request(
+        self, path, key='key', seconds=1.0, attempt_id='a1', **more
+    ):
         now = self.clock.read_monotonic()
         return CallerRequest(
-            attempt_id='a1',
+            attempt_id=attempt_id,
             method='POST',
             target=path,
             path=path,
@@ -212,7 +214,7 @@
             key=key,
             received_at=now,
             deadline=now + seconds,
-            passed_headers=(('X-Monsoonwall-Attempt-Id', 'a1'),),
+            passed_headers=(('X-Monsoonwall-Attempt-Id', attempt_id),),
             body=b'{}',
             **more,
         )
--- a/tests/standins/raw_server.py
+++ b/tests/standins/raw_server.py
@@ -18,11 +18,19 @@
     pause: float = 0
 
 
+@dataclass(frozen=True)
+class LateBytes:
+    """Response step: bytes that precede the next response on the connection."""
+
+    content: bytes
+
+
 class RawServer:
     """Record requests and play one scripted response for each.
 
     A response is a list of steps: bytes to write, a number of seconds to
-    wait, ``'close'`` or ``'reset'`` to end the connection, or EndlessBytes.
+    wait, ``'close'`` or ``'reset'`` to end the connection, EndlessBytes or
+    LateBytes.
     ``endless_bytes`` counts the bytes written by EndlessBytes steps.
     """
 
@@ -33,6 +41,7 @@
         self.address = ''
         self.tasks = []
         self.endless_bytes = 0
+        self.late_bytes = {}
 
     async def serve(self, reader, writer):
         """Serve one connection until a response closes it."""
@@ -68,6 +77,7 @@
         head = await reader.readuntil(b'\r\n\r\n')
         body = await reader.readexactly(parse_content_length(head))
         self.requests.append((head.decode(), body))
+        writer.write(self.late_bytes.pop(writer, b''))
         for step in self.responses.pop(0):
             if step == 'close':
                 return False
@@ -76,6 +86,8 @@
                 return False
             if isinstance(step, EndlessBytes):
                 await self._write_endlessly(writer, step)
+            elif isinstance(step, LateBytes):
+                self.late_bytes[writer] = step.content
             elif isinstance(step, bytes):
                 writer.write(step)
                 await writer.drain()
