Record attempts that the deadline ends before a response

Cause: such an attempt waits until the deadline, which cancels it, and a cancelled attempt was not recorded: no possible crash, no health.

Now an attempt cancelled without a response after more than 1.3 times the latency objective is recorded as timed out, and its server is inspected after the request has ended.

--- a/src/monsoonwall/gateway/crashes.py
+++ b/src/monsoonwall/gateway/crashes.py
@@ -64,8 +64,7 @@
         self, crash_check: CrashCheck, server: BackendServer
     ) -> None:
         """Start an inspection; return after the first probe or its timeout."""
-        probed = asyncio.Event()
-        self._spawn(self._inspect(crash_check, server, probed))
+        probed = self.start(crash_check, server)
         try:
             async with asyncio.timeout(_FIRST_PROBE_SECONDS):
                 await probed.wait()
@@ -73,6 +72,14 @@
             # The inspection continues in its own task.
             return
 
+    def start(
+        self, crash_check: CrashCheck, server: BackendServer
+    ) -> asyncio.Event:
+        """Start an inspection; return the event that ends its first probe."""
+        probed = asyncio.Event()
+        self._spawn(self._inspect(crash_check, server, probed))
+        return probed
+
     async def _inspect(
         self,
         crash_check: CrashCheck,
--- a/src/monsoonwall/gateway/proxy.py
+++ b/src/monsoonwall/gateway/proxy.py
@@ -34,8 +34,9 @@
     RefusalReason,
 )
 
-# If the request can be retried, an attempt times out when its response has not
-# started after this multiple of the route's latency objective.
+# A server is considered silent when a response has not started after this
+# multiple of the route's latency objective. If the request can be retried, the
+# attempt times out then.
 _RESPONSE_TIMEOUT_FACTOR: Final = 1.3
 # Engines are sent priorities from 0, the most urgent, to this one.
 _LOWEST_PRIORITY: Final = 9
@@ -154,6 +155,9 @@
                 self._make_response_writer(run, active_attempt),
                 self._choose_response_deadline(state),
             )
+        except asyncio.CancelledError:
+            self._record_interruption(state, server, active_attempt)
+            raise
         finally:
             self._dependencies.loads.end(server, active_attempt)
         state.possible_runs -= int(not outcome.may_have_run)
@@ -162,6 +166,36 @@
         if outcome.ending is AttemptEnding.failed:
             state.failure_response = outcome.reply
             self._record_response_start(state, server, active_attempt)
+        record = self._record_attempt_end(
+            state, server, outcome, active_attempt
+        )
+        self._dependencies.rollouts.record_attempt_end(record, server)
+        return outcome, record
+
+    def _record_interruption(
+        self,
+        state: RequestState,
+        server: BackendServer,
+        active_attempt: ActiveAttempt,
+    ) -> None:
+        """Record a silent server whose attempt the deadline or caller ended."""
+        now = self._dependencies.clock.read_monotonic()
+        silent_from = active_attempt.sent_at + _compute_response_timeout(state)
+        if active_attempt.started or now < silent_from:
+            return
+        outcome = AttemptResult(AttemptEnding.timed_out, 'given up')
+        self._dependencies.screener.record_interruption(
+            self._record_attempt_end(state, server, outcome, active_attempt),
+            server,
+        )
+
+    def _record_attempt_end(
+        self,
+        state: RequestState,
+        server: BackendServer,
+        outcome: AttemptResult,
+        active_attempt: ActiveAttempt,
+    ) -> AttemptRecord:
         self._update_health(server, outcome)
         record = state.make_attempt_record(
             server,
@@ -169,11 +203,10 @@
             active_attempt.sent_at,
             self._dependencies.clock.read_monotonic(),
         )
-        self._dependencies.rollouts.record_attempt_end(record, server)
         self._recorder.record_attempt(
             state, server, outcome, self._dependencies.loads.find_health(server)
         )
-        return outcome, record
+        return record
 
     def _make_response_writer(
         self,
@@ -219,8 +252,9 @@
         if not route.repeatable or state.possible_runs >= route.max_attempts:
             return state.admitted.deadline
         now = self._dependencies.clock.read_monotonic()
-        timeout = route.objective_seconds * _RESPONSE_TIMEOUT_FACTOR
-        return min(state.admitted.deadline, now + timeout)
+        return min(
+            state.admitted.deadline, now + _compute_response_timeout(state)
+        )
 
     def _update_health(
         self, server: BackendServer, outcome: AttemptResult
@@ -236,6 +270,10 @@
             health.record_failure()
 
 
+def _compute_response_timeout(state: RequestState) -> float:
+    return state.admitted.route.objective_seconds * _RESPONSE_TIMEOUT_FACTOR
+
+
 def _make_attempt(
     state: RequestState,
     server: BackendServer,
--- a/src/monsoonwall/gateway/screening.py
+++ b/src/monsoonwall/gateway/screening.py
@@ -76,8 +76,7 @@
         If the attempt broke off, waits a short time for the inspection that
         finds out whether the server crashed.
         """
-        choice = replace(record.choice, server=_make_incarnation_id(server))
-        record = replace(record, choice=choice)
+        record = _name_incarnation(record, server)
         if record.ending not in _POSSIBLE_CRASH_ENDINGS:
             self.screening.observe(record)
             return
@@ -85,6 +84,20 @@
         if crash_check is not None:
             await self._inspector.inspect(crash_check, server)
 
+    def record_interruption(
+        self, record: AttemptRecord, server: BackendServer
+    ) -> None:
+        """Record an attempt that was given up without a response.
+
+        The inspection that finds out whether the server crashed goes on after
+        the request has ended.
+        """
+        crash_check = self.screening.start_check(
+            _name_incarnation(record, server)
+        )
+        if crash_check is not None:
+            self._inspector.start(crash_check, server)
+
 
 def make_screener(
     record_cache: RecordCache, board: Board, clock: Clock
@@ -94,7 +107,10 @@
     return Screener(screening, CrashInspector(record_cache, screening, clock))
 
 
-def _make_incarnation_id(server: BackendServer) -> str:
+def _name_incarnation(
+    record: AttemptRecord, server: BackendServer
+) -> AttemptRecord:
     # A server that restarts under its name may crash again under the same
     # request, which counts as another crash.
-    return f'{server.name}@{server.born}'
+    incarnation = f'{server.name}@{server.born}'
+    return replace(record, choice=replace(record.choice, server=incarnation))
--- a/tests/gateway/test_screening.py
+++ b/tests/gateway/test_screening.py
@@ -150,3 +150,31 @@
         )
         self.assertEqual({caller.status for caller in callers}, {200})
         self.assertEqual(self.count_arrivals(), [1, 1])
+
+    async def test_silent_server_of_an_unrepeatable_request_was_not_inspected(
+        self,
+    ):
+        """Such requests silenced one server after the other.
+
+        The deadline ended their attempts, and nothing recorded them.
+        """
+        self.primary.responses.append([2])
+        caller = await self.send_request('/reserve/1')
+        self.assertEqual(caller.status, 504)
+        request = self.make_request('/reserve/1')
+        call = self.admission_check.admit(request).unwrap().call
+        screening = self.screener.screening
+        crash = screening.find_pending_crash(call.content_key)
+        self.assertEqual(crash.server, 'i-0@0')
+        health = self.loads.find_health(self.record_cache.find_server('i-0'))
+        self.assertTrue(health.is_ejected(self.clock.read_monotonic()))
+
+    async def test_server_whose_caller_left_early_is_not_suspected(self):
+        self.primary.responses.append([2])
+        serving_task = asyncio.create_task(self.send_request('/reserve/1'))
+        await asyncio.sleep(0.1)
+        serving_task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await serving_task
+        health = self.loads.find_health(self.record_cache.find_server('i-0'))
+        self.assertFalse(health.is_ejected(self.clock.read_monotonic()))
