Wait for the announcement in the test of leaving servers

Cause, brought about at will: the test waited 0.15 s for the head to be read. With the event loop held up for 0.2 s while the first request is sent, the wait is over before the head has been read, and the second request goes to the same server (3 of 4 moments tried).

Now the test waits until the server is known to leave, and the stream does not go on before the second request has been served. It is as strict as before: with an announcement that takes effect only at the end of the stream it fails.

--- a/tests/gateway/test_signals.py
+++ b/tests/gateway/test_signals.py
@@ -53,15 +53,26 @@
         head = STREAM_HEAD.replace(
             b'Content-Type', b'Server-Leaving: 1\r\nContent-Type'
         )
+        resumed = asyncio.Event()
         primary.responses = [
-            [head, chunk(make_event(1)), 0.3, chunk(make_event(2)), STREAM_END]
+            [
+                head,
+                chunk(make_event(1)),
+                resumed,
+                chunk(make_event(2)),
+                STREAM_END,
+            ]
         ]
         secondary.responses = [[make_response()]]
         streaming_task = asyncio.create_task(self.send_request('/talk/x'))
-        await asyncio.sleep(0.15)
+        # A fixed time could end before the head had been read.
+        while not self.record_cache.find_server('i-0').leaving:
+            self.assertFalse(streaming_task.done())
+            await asyncio.sleep(0.01)
         await self.send_request('/look/x')
-        self.assertEqual((await streaming_task).status, 200)
         self.assertEqual(len(secondary.requests), 1)
+        resumed.set()
+        self.assertEqual((await streaming_task).status, 200)
 
 
 class BackoffTest(ProxyHandlerCase):
--- a/tests/standins/raw_server.py
+++ b/tests/standins/raw_server.py
@@ -28,9 +28,9 @@
 class RawServer:
     """Record requests and play one scripted response for each.
 
-    A response is a list of steps: bytes to write, a number of seconds to
-    wait, ``'close'`` or ``'reset'`` to end the connection, EndlessBytes or
-    LateBytes.
+    A response is a list of steps: bytes to write, a number of seconds or an
+    event to wait for, ``'close'`` or ``'reset'`` to end the connection,
+    EndlessBytes or LateBytes.
     ``endless_bytes`` counts the bytes written by EndlessBytes steps.
     """
 
@@ -88,6 +88,8 @@
                 await self._write_endlessly(writer, step)
             elif isinstance(step, LateBytes):
                 self.late_bytes[writer] = step.content
+            elif isinstance(step, asyncio.Event):
+                await step.wait()
             elif isinstance(step, bytes):
                 writer.write(step)
                 await writer.drain()
