--- a/src/monsoonwall/decisions/allowances.py
+++ b/src/monsoonwall/decisions/allowances.py
@@ -25,7 +25,7 @@
 # Time until a grant is known to the hosts that hear this one directly, the
 # same in a wide fleet, and to the hosts of its other zones.
 _NEAR_LAG_SECONDS: Final = 1.75
-_WIDE_NEAR_LAG_SECONDS: Final = 2.25
+_WIDE_NEAR_LAG_SECONDS: Final = 2.0
 _FAR_LAG_SECONDS: Final = 4.0
 # Factor on the demand that may be granted before reports arrive. Reports of
 # demand are late as well, so the actual demand may be higher than reported.
