--- a/src/monsoonwall/decisions/allowances.py
+++ b/src/monsoonwall/decisions/allowances.py
@@ -30,8 +30,8 @@
 # Factor on the demand that may be granted before reports arrive. Reports of
 # demand are late as well, so the actual demand may be higher than reported.
 _UNREPORTED_FACTOR: Final = 1.5
-# The share of a zone is the mean of its shares of the hosts and of the grants.
-_HOSTS_WEIGHT: Final = 0.5
+# Weight of the grants of a zone in its share; the rest is that of its hosts.
+_GRANTS_WEIGHT: Final = 0.5
 # Fraction of an even share that a restarted host assumes it granted before.
 _RESTART_SHARE: Final = 0.6
 # A surge has to be measured before it uses up the current window.
@@ -125,7 +125,11 @@
     def observe(self, near: GrantReport, seconds: float, now: float) -> None:
         """Record what the near hosts report now, and what this host granted."""
         self._snapshots.append(_Snapshot(now, self.report(seconds, now), near))
-        while self._snapshots[0].taken_at < now - _FAR_LAG_SECONDS - 1:
+        # The first snapshot kept is the latest that is as old as the lag.
+        oldest = now - _FAR_LAG_SECONDS
+        while (
+            len(self._snapshots) > 1 and self._snapshots[1].taken_at <= oldest
+        ):
             self._snapshots.popleft()
 
     def try_grant(
@@ -181,11 +185,9 @@
             earlier = self._snapshots[0]
         granted = earlier.own.granted + earlier.near.granted
         total = granted + others.far.granted
-        grants_share = granted / total if total > 0 else 1
         hosts_share = others.near_hosts / (others.near_hosts + others.far_hosts)
-        share = hosts_share
-        if total > 0:
-            share += (1 - _HOSTS_WEIGHT) * (grants_share - hosts_share)
+        grants_share = granted / total if total > 0 else hosts_share
+        share = hosts_share + _GRANTS_WEIGHT * (grants_share - hosts_share)
         return granted + share * max(0, usable - total)
 
     def _may_grant_unreported(
--- a/tests/decisions/test_allowances.py
+++ b/tests/decisions/test_allowances.py
@@ -300,7 +300,7 @@
                 self.assertLessEqual(fleet.find_largest_window(), allowed)
 
     def test_usual_requests_pass_in_a_wide_fleet(self):
-        """A tenth of them was refused, since other zones report late."""
+        """Shares of zones and hosts that are too small would refuse them."""
         fleet = _WideFleet(77, 258_000, 1)
         fleet.simulate(0, 40, 0.55)
         self.assertLess(fleet.refused, 0.1 * fleet.requested)
--- a/tests/gateway/test_fleet_limits.py
+++ b/tests/gateway/test_fleet_limits.py
@@ -45,11 +45,10 @@
         self.fleet = VirtualFleet(ZONES, HOSTS_PER_ZONE, loop)
         self.hosts = {}
         for name, node in self.fleet.nodes.items():
-            self.add_host(name, node, first_start=True)
+            self.add_host(name, node)
         self.granted = []
-        self.requests = 0
 
-    def add_host(self, name, node, first_start):
+    def add_host(self, name, node):
         zone = name.rpartition('-')[0]
         view = FleetView(node.peers, name, zone, alone=False)
         settings = GatewaySettings(
@@ -60,7 +59,7 @@
             '',
             '',
             '',
-            first_start=first_start,
+            first_start=True,
             bounds=BOUNDS,
         )
         limiter = Limiter(
@@ -98,7 +97,6 @@
             await asyncio.sleep(STEP_SECONDS)
 
     def send_request(self, name, units):
-        self.requests += 1
         limiter, _ = self.hosts[name]
         if not limiter.try_grant(DEPOT, units, self.random.random()):
             self.granted.append((self.loop.time(), units))
