Keep a fact until those it has replaced have expired

Cause: a fact that had expired was dropped, and with it the knowledge that it had replaced an earlier one. A host that missed it then handed the earlier fact back, if that one was valid for longer.

Ruled out: forbidding shorter lifetimes (publishers compute expiry from their own clocks, so a later fact may expire sooner by the clocks' difference).

Change: the table keeps an expired fact, which readers do not see, until all facts that it replaced have expired, and lets it replace them at other hosts.

Before: tests.mesh.test_expired_facts failed each time, and tests.mesh.test_merge failed when run together with tests.mesh.test_large_facts. After: both pass.

--- a/src/monsoonwall/mesh/facts.py
+++ b/src/monsoonwall/mesh/facts.py
@@ -19,7 +19,10 @@
 
 
 class FactTable:
-    """Hold the winning fact of each kind and key until it expires.
+    """Hold the winning fact of each kind and key.
+
+    A fact is kept until it and all facts that it has replaced have expired.
+    Otherwise a host that missed it would bring back the one that it replaced.
 
     A bucket's hash is the XOR of the hashes of its facts: hosts with equal
     hashes hold equal facts.
@@ -34,6 +37,8 @@
         # The position of each fact in the order of their arrival.
         self._arrivals: dict[tuple[str, str], int] = {}
         self._arrival_count = 0
+        # When each fact may be dropped (Unix seconds).
+        self._kept_until: dict[tuple[str, str], float] = {}
         self._expiry: SortedSet = SortedSet()
 
     def __len__(self) -> int:
@@ -44,23 +49,24 @@
         """Store the fact if it wins; return whether it did.
 
         A fact loses against the stored one of the same kind and key unless
-        its payload, or at the same payload its expiry, is greater. An expired
-        fact is ignored, and so is one under a new key when the table is full.
+        its payload, or at the same payload its expiry, is greater. Under a new
+        key an expired fact is ignored, and so is any when the table is full.
         """
-        if fact.expires_wall <= now_wall:
-            return False
         current = self._kinds.get(fact.kind, {}).get(fact.key)
-        if current is not None:
-            if _get_precedence(fact) <= _get_precedence(current):
+        if current is None:
+            if fact.expires_wall <= now_wall or len(self) >= MAX_FACTS:
                 return False
-            self._remove(current)
-        elif len(self) >= MAX_FACTS:
+            self._insert(fact, fact.expires_wall)
+            return True
+        if _get_precedence(fact) <= _get_precedence(current):
             return False
-        self._insert(fact)
+        kept_until = self._kept_until[fact.kind, fact.key]
+        self._remove(current)
+        self._insert(fact, max(kept_until, fact.expires_wall))
         return True
 
     def expire(self, now_wall: float) -> None:
-        """Drop the facts that have expired."""
+        """Drop the facts that need not be kept any longer."""
         expired = list(takewhile(lambda due: due[0] <= now_wall, self._expiry))
         for _, kind, key in expired:
             self._remove(self._kinds[kind][key])
@@ -97,9 +103,10 @@
         keys.sort(key=self._arrivals.__getitem__, reverse=True)
         return tuple(self._kinds[kind][key] for kind, key in keys)
 
-    def _insert(self, fact: Fact) -> None:
+    def _insert(self, fact: Fact, kept_until: float) -> None:
         self._kinds.setdefault(fact.kind, {})[fact.key] = fact
-        self._expiry.add((fact.expires_wall, fact.kind, fact.key))
+        self._kept_until[fact.kind, fact.key] = kept_until
+        self._expiry.add((kept_until, fact.kind, fact.key))
         self._arrival_count += 1
         self._arrivals[fact.kind, fact.key] = self._arrival_count
         index = _choose_bucket(fact)
@@ -108,7 +115,8 @@
 
     def _remove(self, fact: Fact) -> None:
         self._kinds[fact.kind].pop(fact.key)
-        self._expiry.discard((fact.expires_wall, fact.kind, fact.key))
+        kept_until = self._kept_until.pop((fact.kind, fact.key))
+        self._expiry.discard((kept_until, fact.kind, fact.key))
         index = _choose_bucket(fact)
         self._keys_by_bucket[index].discard((fact.kind, fact.key))
         self._arrivals.pop((fact.kind, fact.key))
