Replace watching hosts as soon as they fall silent

If the watchers lose power, others were elected only once the silent hosts counted as gone, 4 s later; until then the others acted on the configuration before.

Ruled out: a shorter time until a host is gone (peers' records would be dropped in every busy second); reading by all hosts (calls are priced and limited).

Change: the election leaves out hosts whose heartbeat is overdue (1 s, more in large zones), and standby hosts look four times a second.

The new test of the election failed before. In a zone of more than about 24 hosts alone, heartbeats are too slow for the bound (docs/incidents/late-configurations.md).

--- a/src/monsoonwall/decisions/membership.py
+++ b/src/monsoonwall/decisions/membership.py
@@ -62,7 +62,7 @@
     process.
     """
 
-    suspect_seconds: float = 1.5
+    suspect_seconds: float = 1.0
     gone_seconds: float = 4.0
     refused_seconds: float = 2.0
     pause_seconds: float = 1.0
--- a/src/monsoonwall/entry/mesh_node.py
+++ b/src/monsoonwall/entry/mesh_node.py
@@ -9,7 +9,11 @@
 
 from monsoonwall.clocks import Clock
 from monsoonwall.decisions.gossip import Identity
-from monsoonwall.decisions.membership import Membership, Timing
+from monsoonwall.decisions.membership import (
+    Membership,
+    MemberState,
+    Timing,
+)
 from monsoonwall.mesh.board import Board, Entry, Fact, Merge
 from monsoonwall.mesh.channels import Channels
 from monsoonwall.mesh.exchange import Exchanger
@@ -84,9 +88,17 @@
 class MeshPeers(Peers):
     """List and reach the other hosts known through gossip."""
 
-    def __init__(self, roster: Roster, channels: Channels) -> None:
+    def __init__(
+        self,
+        roster: Roster,
+        channels: Channels,
+        membership: Membership,
+        clock: Clock,
+    ) -> None:
         self._roster = roster
         self._channels = channels
+        self._membership = membership
+        self._clock = clock
 
     def list_peers(self) -> tuple[Peer, ...]:
         """Return the peers considered alive, nearest zones first.
@@ -96,6 +108,15 @@
         """
         return self._roster.list_peers()
 
+    def list_silent(self) -> frozenset[str]:
+        """Return the names of peers whose next heartbeat is overdue."""
+        now = self._clock.read_monotonic()
+        return frozenset(
+            member.name
+            for member in self._membership.list_members()
+            if member.find_state(now) is not MemberState.alive
+        )
+
     def find_channel(self, name: str) -> Channel | None:
         """Return the gRPC channel to a peer, or None if it is unknown."""
         peer = self._roster.find_peer(name)
@@ -145,7 +166,9 @@
         )
         board.connect(self.gossip, planner)
         self.board: Board = board
-        self.peers: Peers = MeshPeers(planner.roster, self._channels)
+        self.peers: Peers = MeshPeers(
+            planner.roster, self._channels, store.membership, clock
+        )
         self._server: MeshServer | None = None
         self._tasks: list[Task[None]] = []
 
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -49,7 +49,9 @@
 _REACHABILITY_KIND: Final = 'store-reach'
 _REACHABLE: Final = b'+'
 _UNREACHABLE: Final = b'-'
-_STANDBY_SECONDS: Final = 0.5
+# A change must take effect within two seconds, also if all watching hosts of
+# the zone were lost just before it.
+_STANDBY_SECONDS: Final = 0.25
 # Delay between watch calls, so that one call returns several changes. Counts
 # towards the time within which a change must take effect.
 _BATCH_SECONDS: Final = 0.3
@@ -69,6 +71,8 @@
 
     All hosts compute the same choice from the mesh. The store may refuse single
     hosts; these publish that they cannot reach it, and others are chosen.
+    Others also replace hosts that fall silent, before these are known to be
+    gone.
     """
 
     def __init__(
@@ -82,13 +86,13 @@
 
     def is_elected(self) -> bool:
         """Return whether this host should watch the store."""
-        unreachable = self.list_unreachable_hosts()
+        excluded = self.list_unreachable_hosts() | self._peers.list_silent()
         zone_peers = [
             peer.name
             for peer in self._peers.list_peers()
             if peer.zone == self._zone and not peer.leaving
         ]
-        reachable = [name for name in zone_peers if name not in unreachable]
+        reachable = [name for name in zone_peers if name not in excluded]
         return is_chosen_watcher(self._own_name, (*reachable, self._own_name))
 
     def publish_reachability(self, reachable: bool) -> None:
--- a/tests/gateway/test_record_watchers.py
+++ b/tests/gateway/test_record_watchers.py
@@ -72,6 +72,24 @@
         )
 
 
+class ZonePeers(NoPeers):
+    """List all other hosts of the zone, some of which have fallen silent."""
+
+    def __init__(self, own_name, silent):
+        self._own_name = own_name
+        self._silent = frozenset(silent)
+
+    def list_peers(self):
+        return tuple(
+            Peer(name, 'a', 'north', '127.0.0.1:1', 1, False)
+            for name in HOSTS
+            if name != self._own_name
+        )
+
+    def list_silent(self):
+        return self._silent
+
+
 class RemovalTest(unittest.IsolatedAsyncioTestCase):
     """Read the removal of a server after a call to the store has failed."""
 
@@ -188,3 +206,19 @@
             }
             self.assertEqual(len(chosen), WATCHERS_PER_ZONE)
             self.assertLess(watchers - {gone}, chosen)
+
+    def test_silent_watchers_are_replaced_before_they_are_gone(self):
+        """All watchers lost power; the others used old configurations."""
+        watchers = {host for host in HOSTS if is_chosen_watcher(host, HOSTS)}
+        others = [host for host in HOSTS if host not in watchers]
+        for silent in (set(), watchers):
+            with self.subTest(silent=silent):
+                elected = {
+                    host
+                    for host in others
+                    if WatcherElection(
+                        FakeBoard(host, {}), ZonePeers(host, silent), host, 'a'
+                    ).is_elected()
+                }
+                expected = min(len(others), WATCHERS_PER_ZONE) if silent else 0
+                self.assertEqual(len(elected), expected)
