Limit what cold servers get, and evacuate zones

Cause: neither cold_start_s, cold_per_s, cold_remaining_ms and the response header for it nor evacuations/ZONE were read. A server that had just started could be met by the whole fleet, and operators could not empty a zone.

Ruled out: an even part of the rate for each host, one host for each cold server, probes, moving the runs of an evacuated zone (docs/design/cold-servers.md).

Change: a cold server has a second limit beside the one it may name, divided among hosts by the same mechanism; warm servers go first. Evacuated zones are left out wherever a server is chosen, nothing is ordered there, and their servers count as cold afterwards. Only where the configuration names a cold start, or the settings bound evacuations.

Before: the new tests fail, as nothing of this existed. After: they pass; in the replay of 75 hosts at 7.7 requests a second at least 0.8 is used and no second exceeds 1.5 times the rate and five.

--- a/src/monsoonwall/decisions/fleet.py
+++ b/src/monsoonwall/decisions/fleet.py
@@ -88,21 +88,25 @@
     running: Mapping[str, ZoneFleet],
     busy_servers: float,
     exhausted: Collection[str] = (),
+    evacuated: int = 0,
 ) -> Mapping[str, ZoneFleet]:
     """Return the servers that each zone should have at a demand.
 
-    Zones that are ``exhausted`` have refused to start more spot servers.
+    Zones that are ``exhausted`` have refused to start more spot servers. The
+    bounds lack ``evacuated`` further zones, which get no requests.
     """
     target = math.ceil(busy_servers / _TARGET_UTILIZATION)
-    # The servers left when one zone is lost have to be enough.
-    remaining_zones = max(1, len(bounds.prices) - len(exhausted) - 1)
+    # The servers left when one zone is lost have to be enough. An evacuated
+    # zone is that zone.
+    spare_zones = max(0, 1 - evacuated)
+    remaining_zones = max(1, len(bounds.prices) - len(exhausted) - spare_zones)
     per_zone = max(bounds.min_servers, 1, math.ceil(target / remaining_zones))
     per_zone = min(bounds.max_servers, per_zone)
     if not bounds.spot:
         return dict.fromkeys(bounds.prices, ZoneFleet(per_zone, 0))
     missing = math.ceil(
         busy_servers / _MAX_UTILIZATION
-    ) - _count_remaining_spot(running, bool(exhausted))
+    ) - _count_remaining_spot(running, bool(exhausted), evacuated)
     on_demand = _distribute(bounds, running, missing)
     return {
         zone: ZoneFleet(count, min(per_zone, bounds.max_servers - count))
@@ -111,7 +115,7 @@
 
 
 def _count_remaining_spot(
-    running: Mapping[str, ZoneFleet], exhausted: bool
+    running: Mapping[str, ZoneFleet], exhausted: bool, evacuated: int
 ) -> int:
     """Return how many spot servers remain after the next reclaims.
 
@@ -119,7 +123,8 @@
     reclaimed servers cannot be replaced while zones are exhausted.
     """
     lost = _ZONES_LOST_WHILE_EXHAUSTED if exhausted else 1
-    return sum(sorted(fleet.spot for fleet in running.values())[:-lost])
+    kept_zones = max(0, len(running) - max(0, lost - evacuated))
+    return sum(sorted(fleet.spot for fleet in running.values())[:kept_zones])
 
 
 def raise_to_minimum(
--- a/src/monsoonwall/decisions/server_limits.py
+++ b/src/monsoonwall/decisions/server_limits.py
@@ -1,13 +1,13 @@
-"""Divide the request limit that a server names among all hosts.
+"""Divide the request limit of a server among all hosts.
 
 A server in need names how many requests per second it takes from all hosts
-together. An even share per host would be a small fraction of a request per
-second in a large fleet, and hosts without a request at that moment would waste
-theirs. So a small limit is used in turns: in each turn, few hosts may send,
-each at least one request per second where the limit allows it. All hosts
-compute the same turns from the wall clock and from names alone. A zone takes
-its turns as a whole, since in a wide fleet a host knows only the hosts of its
-own zone.
+together; a cold server, which has just started, takes few as well. An even
+share per host would be a small fraction of a request per second in a large
+fleet, and hosts without a request at that moment would waste theirs. So a small
+limit is used in turns: in each turn, few hosts may send, each at least one
+request per second where the limit allows it. All hosts compute the same turns
+from the wall clock and from names alone. A zone takes its turns as a whole,
+since in a wide fleet a host knows only the hosts of its own zone.
 """
 
 from collections.abc import Collection
@@ -28,6 +28,10 @@
 _BURST_SECONDS: Final = 0.5
 # A turn begins with this part of a request saved up.
 _INITIAL_REQUESTS: Final = 0.5
+# After a cold period the limit doubles this often, once in each step, and then
+# ends: otherwise the whole fleet would turn to a server that has no load yet.
+_WARM_UP_STEPS: Final = 2
+_WARM_UP_STEP_SECONDS: Final = 1.0
 
 
 @dataclass(frozen=True)
@@ -58,6 +62,29 @@
     requests_per_second: float
 
 
+@dataclass(frozen=True)
+class ColdStart:
+    """How long servers are cold after a start, and what they take meanwhile.
+
+    A cold server accepts ``requests_per_second`` from all hosts together.
+    """
+
+    seconds: float
+    requests_per_second: float
+
+    def compute_limit(self, cold_until: float, now: float) -> float | None:
+        """Return the limit of a server that is cold until then, if any.
+
+        Times are in monotonic seconds.
+        """
+        if now < cold_until:
+            return self.requests_per_second
+        steps = 1 + floor((now - cold_until) / _WARM_UP_STEP_SECONDS)
+        if steps > _WARM_UP_STEPS:
+            return None
+        return self.requests_per_second * 2**steps
+
+
 def compute_share(
     subject: str, limit: float, fleet: VisibleFleet, now_wall: float
 ) -> LimitShare:
--- a/src/monsoonwall/gateway/autoscaling.py
+++ b/src/monsoonwall/gateway/autoscaling.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 from monsoonwall.clocks import Clock
@@ -152,33 +153,49 @@
     def _plan(
         self, service: Service, running: Mapping[str, ZoneFleet]
     ) -> Mapping[str, ZoneFleet]:
+        """Return the plan of all zones that are not evacuated.
+
+        The servers of evacuated zones are kept until their zone is used again.
+        """
         scaling = service.scaling
+        zones = self._list_used_zones()
+        running = {zone: running[zone] for zone in zones}
         bounds = FleetBounds(
             scaling.min_servers,
             scaling.max_servers,
             scaling.spot_price is not None,
-            {zone: scaling.zone_prices.get(zone, 1) for zone in self._zones},
+            {zone: scaling.zone_prices.get(zone, 1) for zone in zones},
         )
         peak = self._peaks.setdefault(service.name, DemandPeak())
         now = self._clock.read_monotonic()
-        exhausted = self._list_exhausted(service.name, now)
+        plan = partial(
+            plan_zones,
+            bounds,
+            running,
+            exhausted=self._list_exhausted(service.name, now).intersection(
+                zones
+            ),
+            evacuated=len(self._zones) - len(zones),
+        )
         if peak.is_established(now):
-            return plan_zones(bounds, running, peak.read(), exhausted)
+            return plan(peak.read())
         if self._first_start:
             expected = estimate_demand(self._max_on_demand.get(service.name, 0))
-            return plan_zones(
-                bounds, running, max(expected, peak.read()), exhausted
-            )
+            return plan(max(expected, peak.read()))
         # After a restart of all hosts, the running servers match the demand
         # before it; until the demand is known, the plan only adds to them.
         if not peak.read():
             return running
-        minimum_plan = plan_zones(bounds, running, peak.read(), exhausted)
+        minimum_plan = plan(peak.read())
         return {
             zone: raise_to_minimum(bounds, running[zone], minimum_plan[zone])
             for zone in bounds.prices
         }
 
+    def _list_used_zones(self) -> tuple[str, ...]:
+        evacuated = self._record_cache.evacuations.zones
+        return tuple(zone for zone in self._zones if zone not in evacuated)
+
     def _list_exhausted(self, service: str, now: float) -> frozenset[str]:
         """Return the zones that have recently refused to start spot servers."""
         return frozenset(
--- a/src/monsoonwall/gateway/dialect.py
+++ b/src/monsoonwall/gateway/dialect.py
@@ -50,9 +50,9 @@
     ``closes_channel`` whether the server closes the channel after the response,
     ``keep_alive_seconds`` how long the server keeps an idle channel open,
     ``backoff_seconds`` how long this host must send it no requests,
-    ``leaving`` whether the server is shutting down, and ``requests_per_second``
+    ``leaving`` whether the server is shutting down, ``requests_per_second``
     how many requests it accepts from all hosts together, None if it names no
-    limit.
+    limit, and ``cold_seconds`` how long it stays cold, None if it does not say.
     """
 
     attempt_id: str
@@ -63,6 +63,7 @@
     backoff_seconds: float | None = None
     leaving: bool = False
     requests_per_second: float | None = None
+    cold_seconds: float | None = None
 
 
 class Dialect(ABC):
--- a/src/monsoonwall/gateway/fleet_view.py
+++ b/src/monsoonwall/gateway/fleet_view.py
@@ -7,6 +7,8 @@
 
 # Number of hosts assumed until this host has met another.
 _ASSUMED_HOSTS: Final = 9
+# The fleet counts as known after as many updates without a further host.
+_SETTLED_UPDATES: Final = 3
 
 
 class FleetView:
@@ -18,7 +20,9 @@
         self.own_zone = own_zone
         self._own_name = own_name
         self._peers = peers
+        self._alone = alone
         self._max_hosts = 1 if alone else _ASSUMED_HOSTS
+        self._updates_without_growth = 0
         self._visible_hosts = 1
         self._has_met_hosts = False
 
@@ -31,11 +35,21 @@
         in a zone that is cut off, cannot count itself.
         """
         other_hosts = max(reporting_hosts, len(self._peers.list_peers()))
+        max_hosts = self._max_hosts
         if other_hosts and not self._has_met_hosts:
             self._has_met_hosts = True
             self._max_hosts = 1
         self._visible_hosts = other_hosts + 1
         self._max_hosts = max(self._max_hosts, self._visible_hosts, fleet_hosts)
+        if self._has_met_hosts and self._max_hosts == max_hosts:
+            self._updates_without_growth += 1
+        else:
+            self._updates_without_growth = 0
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether this host has found the others of its fleet."""
+        return self._alone or self._updates_without_growth >= _SETTLED_UPDATES
 
     def count_hosts(self) -> int:
         """Return the highest number of hosts known at once so far."""
--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -14,6 +14,7 @@
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_gossip import RecordGossip
 from monsoonwall.gateway.record_watchers import WatcherElection, make_watchers
+from monsoonwall.gateway.records import RecordKind
 from monsoonwall.gateway.serving import ServingStack
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.logs import make_logger
@@ -76,6 +77,7 @@
                 settings.zone,
             ),
             settings.first_start,
+            _choose_record_kinds(settings),
         )
         self._ready_server = ReadyServer(
             settings.ready_address, adapters.ready_path, self._is_ready
@@ -162,6 +164,15 @@
         _log.info('Shutdown done.', requests_left=ingress.active)
 
 
+def _choose_record_kinds(settings: GatewaySettings) -> Iterable[RecordKind]:
+    """Return the kinds of records that exist in this deployment."""
+    if settings.bounds.evacuate_seconds:
+        return RecordKind
+    return tuple(
+        kind for kind in RecordKind if kind is not RecordKind.evacuation
+    )
+
+
 async def _repeat(step: Callable[[], None], seconds: float) -> None:
     while True:
         step()
--- a/src/monsoonwall/gateway/model.py
+++ b/src/monsoonwall/gateway/model.py
@@ -6,6 +6,8 @@
 from functools import cached_property
 from types import MappingProxyType
 
+from monsoonwall.decisions.server_limits import ColdStart
+
 DEFAULT_PRIORITY = 5
 
 
@@ -85,11 +87,15 @@
 
 @dataclass(frozen=True)
 class Service:
-    """A group of servers that serve the same requests."""
+    """A group of servers that serve the same requests.
+
+    Without ``cold_start``, its servers take full load from the start.
+    """
 
     name: str
     engine: Engine | None = None
     scaling: Scaling | None = None
+    cold_start: ColdStart | None = None
 
 
 @dataclass(frozen=True)
@@ -173,6 +179,7 @@
     It runs up to ``slots`` requests at once. ``leaving`` servers get no new
     requests. ``born`` distinguishes incarnations of a server name; later ones
     have a higher number. ``spot`` servers may be reclaimed by the platform.
+    ``cold_seconds`` is how long it stayed cold after it wrote its entry.
     """
 
     name: str
@@ -184,6 +191,7 @@
     leaving: bool = False
     spot: bool = False
     born: int = 0
+    cold_seconds: float = 0
 
 
 class RolloutState(StrEnum):
--- a/src/monsoonwall/gateway/record_cache.py
+++ b/src/monsoonwall/gateway/record_cache.py
@@ -1,4 +1,4 @@
-"""Cache the configuration, the servers and the roll-outs on this host.
+"""Cache the configuration, servers, roll-outs and evacuations on this host.
 
 Records arrive from the platform's store and from other hosts, in any order and
 possibly more than once. The cache keeps the latest of each record, so an
@@ -11,13 +11,15 @@
 - a configuration is kept until one with a higher version arrives;
 - an entry of the copy for a server that had left is marked as leaving;
 - servers that the copy lacks are kept while they register again;
-- roll-outs that the copy lacks, or has an earlier order for, are kept.
+- roll-outs that the copy lacks, or has an earlier order for, are kept;
+- evacuations that the copy lacks are kept.
 """
 
 from collections.abc import Callable, Container
 from dataclasses import replace
 
 from monsoonwall.clocks import Clock
+from monsoonwall.gateway.evacuations import Evacuations
 from monsoonwall.gateway.model import (
     BackendServer,
     Catalogue,
@@ -53,6 +55,7 @@
         self._observers: list[Observer] = []
         self.catalogue: Catalogue | None = None
         self._rollouts: dict[str, Rollout] = {}
+        self.evacuations = Evacuations()
 
     def subscribe(self, observer: Observer) -> None:
         """Register a callback for every record that is adopted or changed."""
@@ -129,7 +132,7 @@
             if after_outage and self._servers.hold_removal(record):
                 return False
             self._servers.adopt(record)
-        elif not self._adopt_rollout(record):
+        elif not self._adopt_order(record):
             return False
         self._store(record)
         return True
@@ -185,7 +188,10 @@
         self._store(replace(record, version=catalogue.version))
         return True
 
-    def _adopt_rollout(self, record: Record) -> bool:
+    def _adopt_order(self, record: Record) -> bool:
+        if record.kind is RecordKind.evacuation:
+            self.evacuations.adopt(record)
+            return True
         previous = self._rollouts.get(record.name)
         rollout = record.content and self._codec.decode_rollout(record)
         if not rollout:
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -46,6 +46,9 @@
 # For this long after an outage, removals may be those of expired entries.
 # Ends before the store counts as stable again and its removals are binding.
 _RECOVERY_SECONDS: Final = 1.5
+# Watches of evacuations last longer by this factor: operators allow more time
+# for them than for configurations, and each watch is a call.
+_EVACUATION_WATCH_FACTOR: Final = 1.75
 _REACHABILITY_KIND: Final = 'store-reach'
 _REACHABLE: Final = b'+'
 _UNREACHABLE: Final = b'-'
@@ -242,6 +245,8 @@
         wait_seconds = self._random.uniform(
             _MIN_WATCH_SECONDS, _MAX_WATCH_SECONDS
         )
+        if self._kind is RecordKind.evacuation:
+            wait_seconds *= _EVACUATION_WATCH_FACTOR
         deadline = self._clock.read_monotonic() + wait_seconds
         watched = await self._source.watch_records(
             self._kind, self._revision or 0, deadline
@@ -299,8 +304,9 @@
     random: Random,
     election: WatcherElection,
     first_start: bool,
+    kinds: Iterable[RecordKind] = RecordKind,
 ) -> tuple[RecordWatcher, ...]:
-    """Return one watcher for each kind of record."""
+    """Return one watcher for each of the given kinds of records."""
     return tuple(
         RecordWatcher(
             kind,
@@ -311,5 +317,5 @@
             election,
             first_start,
         )
-        for kind in RecordKind
+        for kind in kinds
     )
--- a/src/monsoonwall/gateway/records.py
+++ b/src/monsoonwall/gateway/records.py
@@ -21,6 +21,7 @@
     catalogue = 'catalogue'
     server = 'server'
     rollout = 'rollout'
+    evacuation = 'evacuation'
 
 
 @dataclass(frozen=True)
--- a/src/monsoonwall/gateway/run_moves.py
+++ b/src/monsoonwall/gateway/run_moves.py
@@ -109,6 +109,8 @@
             return RunMove(move_result.may_have_stopped)
         # A stopped run whose state was not copied resumes only at its source.
         selected = target if move_result.copied else run.selected
+        if self._server_selector.is_evacuated(selected.server):
+            return RunMove(may_have_stopped=True)
         self._server_selector.record_move(selected.server)
         return RunMove(
             may_have_stopped=True,
--- a/src/monsoonwall/gateway/sending.py
+++ b/src/monsoonwall/gateway/sending.py
@@ -63,6 +63,10 @@
         ``sent_at`` is when the request was sent (monotonic seconds).
         """
 
+    @abstractmethod
+    def observe_unreachable(self, server: BackendServer) -> None:
+        """Process that a server did not accept a connection."""
+
 
 class ResponseWriter(ABC):
     """Receive a successful response while it arrives."""
@@ -105,6 +109,7 @@
                 attempt.server, _CONNECT_SECONDS, attempt.used_channels
             )
         except OSError as error:
+            self._observer.observe_unreachable(attempt.server)
             return AttemptResult(AttemptEnding.unreachable, str(error))
         now = self._clock.read_monotonic()
         reader = _ResponseReader(
--- a/src/monsoonwall/gateway/server_limits.py
+++ b/src/monsoonwall/gateway/server_limits.py
@@ -1,28 +1,24 @@
-"""Keep servers within the limits that they name in their responses.
+"""Keep servers within the limits that they name, and those of cold servers.
 
-A host that learns of a limit publishes it to the others, which keep it as well.
-How a limit is divided among them is decided in ``decisions.server_limits``.
+A host that reads a limit in a response publishes it to the others, which keep
+it as well. How a limit is divided among them is decided in
+``decisions.server_limits``.
 """
 
 import struct
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable, Container
+from dataclasses import dataclass, replace
 from typing import Final
 
-from monsoonwall.clocks import Clock, SteadyWallClock
-from monsoonwall.decisions.server_limits import (
-    LimitShare,
-    SendBudget,
-    compute_share,
-)
+from monsoonwall.clocks import Clock
 from monsoonwall.gateway.fleet_view import FleetView
+from monsoonwall.gateway.limit_shares import LimitShares
 from monsoonwall.gateway.model import BackendServer
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board, Entry, Fact
 
 LIMIT_KIND: Final = 'server-limit'
 _FACT_TTL_SECONDS: Final = 300.0
-# A share is computed anew this often, since hosts come and go within a turn.
-_SHARE_SECONDS: Final = 1.0
 # A limit that lasts is published again when this part of the time is left.
 _RENEWAL_RATIO: Final = 0.5
 _MILLISECONDS_PER_SECOND: Final = 1000
@@ -33,6 +29,10 @@
 _log = make_logger('servers')
 
 
+def _is_warm(server: BackendServer) -> None:
+    """Return no limit for any server."""
+
+
 @dataclass(frozen=True)
 class NamedLimit:
     """Hold what one incarnation of a server said of its limit.
@@ -68,7 +68,7 @@
 
 @dataclass
 class _LimitedServer:
-    """Limit of a server, and what this host may send to it.
+    """Limit that a server has named.
 
     ``learned_at`` is when this host learned the limit (monotonic seconds), and
     ``expires_wall`` when other hosts forget it (Unix seconds).
@@ -77,19 +77,26 @@
     limit: NamedLimit
     learned_at: float
     expires_wall: float
-    budget: SendBudget = field(default_factory=SendBudget)
-    share: LimitShare | None = None
-    share_expires_wall: float = 0
 
 
 class ServerLimits:
-    """Learn, publish and keep the limits of all servers."""
+    """Learn, publish and keep the limits of all servers.
 
-    def __init__(self, board: Board, clock: Clock, fleet: FleetView) -> None:
+    ``find_cold_limit`` returns the limit of a cold server. A server with two
+    limits is kept within the lower one.
+    """
+
+    def __init__(
+        self,
+        board: Board,
+        clock: Clock,
+        fleet: FleetView,
+        find_cold_limit: Callable[[BackendServer], float | None] = _is_warm,
+    ) -> None:
         self._board = board
         self._clock = clock
-        self._wall_clock = SteadyWallClock(clock)
-        self._fleet = fleet
+        self._find_cold_limit = find_cold_limit
+        self._shares = LimitShares(clock, fleet)
         self._servers: dict[str, _LimitedServer] = {}
         self._received = board.subscribe(LIMIT_KIND)
 
@@ -138,30 +145,28 @@
         if lowers or sent_at >= known.learned_at:
             self._change(server, requests_per_second)
 
+    def is_cold(self, server: BackendServer) -> bool:
+        """Return whether a server is cold, or still warming up."""
+        return self._find_cold_limit(server) is not None
+
     def can_send(self, server: BackendServer) -> bool:
         """Return whether a request may be sent to a server now."""
-        known = self._find_limited(server)
-        if known is None:
-            return True
-        now = self._clock.read_monotonic()
-        return known.budget.can_send(self._compute_share(server, known), now)
+        limit = self._find_limit(server)
+        return limit is None or self._shares.can_send(server, limit)
 
     def spend(self, server: BackendServer) -> None:
         """Count a request that is being sent to a server."""
-        known = self._find_limited(server)
-        if known is not None:
-            known.budget.spend()
+        if self._find_limit(server) is not None:
+            self._shares.spend(server)
 
     def estimate_wait(self, server: BackendServer) -> float:
         """Return the seconds until a request may be sent to a server."""
-        known = self._find_limited(server)
-        if known is None:
-            return 0
-        return known.budget.estimate_wait(
-            self._compute_share(server, known),
-            self._clock.read_monotonic(),
-            self._wall_clock.read(),
-        )
+        limit = self._find_limit(server)
+        return 0 if limit is None else self._shares.estimate_wait(server, limit)
+
+    def retain(self, names: Container[str]) -> None:
+        """Drop what this host has sent to all other servers."""
+        self._shares.retain(names)
 
     def drop_expired(self) -> None:
         """Forget the limits that no response has named for a long time."""
@@ -178,30 +183,14 @@
             return None
         return known
 
-    def _find_limited(self, server: BackendServer) -> _LimitedServer | None:
-        """Return the server's state if it names a limit at present."""
+    def _find_limit(self, server: BackendServer) -> float | None:
+        """Return the server's limit in requests per second, if it has one."""
         known = self._find(server)
-        if known is None or known.limit.requests_per_second is None:
-            return None
-        return known
-
-    def _compute_share(
-        self, server: BackendServer, known: _LimitedServer
-    ) -> LimitShare:
-        now_wall = self._wall_clock.read()
-        share = known.share
-        if share is None or now_wall >= known.share_expires_wall:
-            share = compute_share(
-                f'{server.name}@{server.born}',
-                known.limit.requests_per_second or 0,
-                self._fleet.describe(),
-                now_wall,
-            )
-            known.share = share
-            known.share_expires_wall = min(
-                share.ends_wall, now_wall + _SHARE_SECONDS
-            )
-        return share
+        named = known and known.limit.requests_per_second
+        cold = self._find_cold_limit(server)
+        if named is None or cold is None:
+            return cold if named is None else named
+        return min(named, cold)
 
     def _change(
         self, server: BackendServer, requests_per_second: float | None
@@ -238,26 +227,26 @@
         if known is None or known.limit.born != limit.born:
             known = _LimitedServer(limit, now, expires_wall)
             self._servers[name] = known
-            self._log_limit(name, limit)
+            _log_limit(name, limit)
             return
         changed = known.limit.requests_per_second != limit.requests_per_second
         known.limit = limit
         known.expires_wall = expires_wall
         if changed:
             known.learned_at = now
-            known.share = None
-            self._log_limit(name, limit)
-
-    def _log_limit(self, name: str, limit: NamedLimit) -> None:
-        _log.info(
-            'Server no longer limits its requests.'
-            if limit.requests_per_second is None
-            else 'Server limits its requests.',
-            server=name,
-            born=limit.born,
-            requests_per_second=limit.requests_per_second,
-        )
+            _log_limit(name, limit)
 
 
 def _get_age(limit: NamedLimit) -> tuple[int, int]:
     return limit.born, limit.version
+
+
+def _log_limit(name: str, limit: NamedLimit) -> None:
+    _log.info(
+        'Server no longer limits its requests.'
+        if limit.requests_per_second is None
+        else 'Server limits its requests.',
+        server=name,
+        born=limit.born,
+        requests_per_second=limit.requests_per_second,
+    )
--- a/src/monsoonwall/gateway/server_selection.py
+++ b/src/monsoonwall/gateway/server_selection.py
@@ -61,16 +61,17 @@
         """Return the server for the next attempt, or a refusal."""
         known = self._list_servers(state)
         servers = self._exclude_unavailable(known)
-        candidates = self._make_candidates(state, servers)
-        placement = choose_server(tuple(candidates.values()), state.suspect)
-        if placement is None:
-            return self._refuse_without_server(state, known)
-        refusal = self._refuse_long_wait(state, placement)
-        if refusal is not None:
-            return refusal
-        selected = servers[placement.server]
-        self._limits.spend(selected)
-        return SelectedServer(selected, candidates[placement.server])
+        warm = {
+            name: server
+            for name, server in servers.items()
+            if not self._limits.is_cold(server)
+        }
+        selected = self._choose_among(state, warm, known)
+        if isinstance(selected, Refusal) and len(warm) < len(servers):
+            selected = self._choose_among(state, servers, known)
+        if not isinstance(selected, Refusal):
+            self._limits.spend(selected.server)
+        return selected
 
     def choose_move_target(
         self, state: RequestState, source: str
@@ -104,6 +105,24 @@
             )
         return Refusal(RefusalReason.outcome_unknown, state.effect, detail)
 
+    def is_evacuated(self, server: BackendServer) -> bool:
+        """Return whether a server is in a zone that gets no requests."""
+        return server.zone in self._record_cache.evacuations.zones
+
+    def _choose_among(
+        self,
+        state: RequestState,
+        servers: Mapping[str, BackendServer],
+        known: Mapping[str, BackendServer],
+    ) -> SelectedServer | Refusal:
+        candidates = self._make_candidates(state, servers)
+        placement = choose_server(tuple(candidates.values()), state.suspect)
+        if placement is None:
+            return self._refuse_without_server(state, known)
+        return self._refuse_long_wait(state, placement) or SelectedServer(
+            servers[placement.server], candidates[placement.server]
+        )
+
     def _jitter_retry(self, seconds: float) -> float:
         """Return a retry time with jitter, so that callers spread out."""
         return seconds * (1 + _RETRY_JITTER * self._random.random())
@@ -114,7 +133,7 @@
             for server in self._record_cache.list_servers(
                 state.admitted.service.name
             )
-            if not server.leaving
+            if not server.leaving and not self.is_evacuated(server)
         }
         return dict(self._rollouts.filter_servers(state, servers))
 
@@ -137,17 +156,22 @@
         self, state: RequestState, known: Mapping[str, BackendServer]
     ) -> Refusal:
         if not known:
+            evacuated = ', '.join(sorted(self._record_cache.evacuations.zones))
             return Refusal(
                 RefusalReason.no_server,
                 state.effect,
-                'no server of the service is known',
+                f'zones are evacuated: {evacuated}'
+                if evacuated
+                else 'no server of the service is known',
                 self._jitter_retry(_MIN_RETRY_SECONDS),
             )
         wait = min(map(self._estimate_wait, known.values()))
+        cold = sum(map(self._limits.is_cold, known.values()))
         return Refusal(
             RefusalReason.overloaded,
             state.effect,
-            f'no server accepts a request from this host for {wait:.2f} s',
+            f'no server accepts a request from this host for {wait:.2f} s, '
+            f'{cold} of {len(known)} are cold',
             self._jitter_retry(max(wait, _MIN_RETRY_SECONDS)),
         )
 
--- a/src/monsoonwall/gateway/serving.py
+++ b/src/monsoonwall/gateway/serving.py
@@ -111,8 +111,11 @@
         """Exchange usage counts and drop the state of servers that are gone."""
         self.usage.exchange()
         self.signals.limits.drop_expired()
+        self.signals.cold_servers.drop_warm()
         servers = self._record_cache.list_all_servers()
-        self.loads.retain(server.name for server in servers)
+        names = frozenset(server.name for server in servers)
+        self.signals.limits.retain(names)
+        self.loads.retain(names)
         self.pool.close_unused(
             server for server in servers if not server.leaving
         )
--- a/src/monsoonwall/gateway/settings.py
+++ b/src/monsoonwall/gateway/settings.py
@@ -18,7 +18,8 @@
     a workspace may exceed its limit by ``limit_overage`` of it and, if it
     counts tokens, by ``limit_slack_tokens``. During a roll-out, a bad version
     may get ``exposure_share`` of its service's requests plus
-    ``exposure_slack``.
+    ``exposure_slack``. Operators evacuate zones only if ``evacuate_seconds``,
+    the time within which a zone must get no more requests, is set.
     """
 
     drain_seconds: float = 2
@@ -34,6 +35,7 @@
     limit_slack_tokens: float = 0
     exposure_share: float = 0.1
     exposure_slack: float = 50
+    evacuate_seconds: float = 0
 
 
 @dataclass(frozen=True)
--- a/src/monsoonwall/gateway/signals.py
+++ b/src/monsoonwall/gateway/signals.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from monsoonwall.clocks import Clock
+from monsoonwall.gateway.cold_servers import ColdServers
 from monsoonwall.gateway.departures import Departures
 from monsoonwall.gateway.dialect import ResponseInfo
 from monsoonwall.gateway.fleet_view import FleetView
@@ -18,7 +19,7 @@
 
 
 class ServerSignals(ResponseObserver):
-    """Record announced shutdowns, requested backoffs and named limits."""
+    """Record announced shutdowns, backoffs, limits and cold periods."""
 
     def __init__(
         self,
@@ -30,7 +31,10 @@
     ) -> None:
         self._departures = Departures(board, record_cache, clock)
         self._loads = loads
-        self.limits = ServerLimits(board, clock, fleet)
+        self.cold_servers = ColdServers(record_cache, fleet, clock)
+        self.limits = ServerLimits(
+            board, clock, fleet, self.cold_servers.find_limit
+        )
         self._clock = clock
 
     async def run(self) -> None:
@@ -53,7 +57,15 @@
                 server=server.name,
                 seconds=response_info.backoff_seconds,
             )
+        if response_info.cold_seconds is not None:
+            self.cold_servers.record_announcement(
+                server, response_info.cold_seconds
+            )
         limit = response_info.requests_per_second
         # A refusal that names no limit may come from another process.
         if limit is not None or response_info.signed:
             self.limits.record_response(server, limit, sent_at)
+
+    def observe_unreachable(self, server: BackendServer) -> None:
+        """Expect that a server that cannot be reached returns cold."""
+        self.cold_servers.assume_cold(server)
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -170,6 +170,14 @@
     'Repetitions that this host may still send, as of the last decision.',
     ('service',),
 )
+GATEWAY_EVACUATED_ZONES = Gauge(
+    'monsoonwall_gateway_evacuated_zones',
+    "Zones whose servers get no requests at an operator's order.",
+)
+GATEWAY_COLD_SERVERS = Gauge(
+    'monsoonwall_gateway_cold_servers',
+    'Servers that get few requests because they have just started.',
+)
 GATEWAY_REVISION = Gauge(
     'monsoonwall_gateway_revision',
     'Revision last adopted, by kind of record.',
--- a/src/monsoonwall/platform/dialect.py
+++ b/src/monsoonwall/platform/dialect.py
@@ -50,6 +50,7 @@
 _LEAVING: Final = 'Server-Leaving'
 _LEAVING_VALUE: Final = '1'
 _LIMIT: Final = 'Server-Limit'
+_COLD: Final = 'X-Monsoonwall-Cold-Ms'
 
 _HOP_BY_HOP_HEADERS: Final = frozenset(
     (
@@ -194,7 +195,8 @@
             keep_alive_seconds=_read_keep_alive(headers),
             backoff_seconds=_read_backoff(head),
             leaving=headers.get(_LEAVING, '').strip() == _LEAVING_VALUE,
-            requests_per_second=_read_limit(headers),
+            requests_per_second=_read_number(headers, _LIMIT),
+            cold_seconds=_read_cold_seconds(headers),
         )
 
     def write_response_headers(self, head: Head) -> HTTPHeaders:
@@ -294,12 +296,19 @@
     return seconds if isfinite(seconds) and seconds > 0 else None
 
 
-def _read_limit(headers: HTTPHeaders) -> float | None:
+def _read_cold_seconds(headers: HTTPHeaders) -> float | None:
+    milliseconds = _read_number(headers, _COLD)
+    if milliseconds is None:
+        return None
+    return milliseconds / _MILLISECONDS_PER_SECOND
+
+
+def _read_number(headers: HTTPHeaders, name: str) -> float | None:
     try:
-        limit = float(headers.get(_LIMIT, ''))
+        number = float(headers.get(name, ''))
     except ValueError:
         return None
-    return limit if isfinite(limit) and limit >= 0 else None
+    return number if isfinite(number) and number >= 0 else None
 
 
 def _make_bad_request(detail: str) -> Result[CallerRequest, Refusal]:
--- a/src/monsoonwall/platform/documents.py
+++ b/src/monsoonwall/platform/documents.py
@@ -8,6 +8,7 @@
 from msgspec import DecodeError, Struct, ValidationError, field, json
 from returns.pipeline import is_successful
 
+from monsoonwall.decisions.server_limits import ColdStart
 from monsoonwall.gateway.model import (
     BackendServer,
     Catalogue,
@@ -74,6 +75,10 @@
     name: str
     engine: _Engine | None = None
     scaling: _Scaling | None = None
+    # How long a server is cold after its start, and how many requests it takes
+    # from all hosts together while it is cold.
+    cold_start_s: float = 0
+    cold_per_s: float = 0
 
 
 class _Tenant(Struct):
@@ -111,6 +116,7 @@
     # Start time in Unix milliseconds. Distinguishes incarnations of the server
     # that have the same name.
     born: int = 0
+    cold_remaining_ms: float = 0
 
 
 class PlatformCodec(RecordCodec):
@@ -180,6 +186,7 @@
         leaving=spec.state == _DRAINING,
         spot=spec.spot,
         born=spec.born,
+        cold_seconds=max(0, spec.cold_remaining_ms) / _MILLISECONDS_PER_SECOND,
     )
 
 
@@ -227,9 +234,16 @@
             scaling.spot_price,
             scaling.zone_prices,
         ),
+        cold_start=_make_cold_start(spec),
     )
 
 
+def _make_cold_start(spec: _Service) -> ColdStart | None:
+    if spec.cold_start_s <= 0 or spec.cold_per_s <= 0:
+        return None
+    return ColdStart(spec.cold_start_s, spec.cold_per_s)
+
+
 def _make_workspace(spec: _Tenant) -> Workspace:
     return Workspace(
         name=spec.name,
--- a/src/monsoonwall/platform/machine.py
+++ b/src/monsoonwall/platform/machine.py
@@ -41,6 +41,7 @@
     # ``exposure_slack`` requests.
     exposure_share: float = 0.1
     exposure_slack: float = 50
+    evacuate_ms: float = 0
 
 
 class _Store(Struct):
@@ -128,4 +129,5 @@
         limit_slack_tokens=section.quota_slack,
         exposure_share=section.exposure_share,
         exposure_slack=section.exposure_slack,
+        evacuate_seconds=section.evacuate_ms / _MILLISECONDS_PER_SECOND,
     )
--- a/src/monsoonwall/platform/store.py
+++ b/src/monsoonwall/platform/store.py
@@ -61,6 +61,7 @@
         RecordKind.catalogue: 'config',
         RecordKind.server: 'servers',
         RecordKind.rollout: 'rollouts',
+        RecordKind.evacuation: 'evacuations',
     }
 )
 _NO_OPTIONS: Final[Mapping[str, Any]] = MappingProxyType({})
--- a/tests/decisions/test_fleet.py
+++ b/tests/decisions/test_fleet.py
@@ -63,6 +63,18 @@
         plan = plan_zones(BOUNDS, running, 2, {'a'})
         self.assertEqual(plan['b'].spot, 8)
 
+    def test_evacuated_zone_uses_up_the_spare(self):
+        """The loss of a zone is prepared for, so that none is ordered anew."""
+        usual = plan_zones(BOUNDS, make_fleets(4), 2)
+        left = FleetBounds(1, 12, True, {'b': 1.2, 'c': 1.0})
+        running = {zone: usual[zone] for zone in left.prices}
+        self.assertEqual(plan_zones(left, running, 2, evacuated=1), running)
+        last = FleetBounds(1, 12, True, {'c': 1.0})
+        plan = plan_zones(last, {'c': usual['c']}, 2, evacuated=2)
+        self.assertEqual(plan['c'], ZoneFleet(0, 8))
+        none = FleetBounds(1, 12, True, {})
+        self.assertEqual(plan_zones(none, {}, 2, evacuated=3), {})
+
     def test_usual_load_needs_no_on_demand_servers(self):
         plan = plan_zones(BOUNDS, make_fleets(6), 2)
         self.assertEqual(set(plan.values()), {ZoneFleet(0, 4)})
--- a/tests/decisions/test_server_limits.py
+++ b/tests/decisions/test_server_limits.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from monsoonwall.decisions.server_limits import (
+    ColdStart,
     LimitShare,
     SendBudget,
     VisibleFleet,
@@ -22,12 +23,12 @@
     return 1.5 * limit * WINDOW_SECONDS + 5
 
 
-def count_largest_window(arrivals):
+def count_largest_window(arrivals, window_seconds=WINDOW_SECONDS):
     """Return the most arrivals in any window."""
     largest = 0
     first = 0
     for index, arrival in enumerate(arrivals):
-        while arrivals[first] <= arrival - WINDOW_SECONDS:
+        while arrivals[first] <= arrival - window_seconds:
             first += 1
         largest = max(largest, index - first + 1)
     return largest
@@ -168,6 +169,47 @@
         self.assertGreater(min(counts.values()), 0)
 
 
+class ColdServerTest(unittest.TestCase):
+    """Send to a server that is cold, from the hosts of a large fleet."""
+
+    def setUp(self):
+        self.hosts = make_hosts(3, 25)
+        self.random = Random(5)
+        self.rate = 7.7
+        # What users allow within one second.
+        self.bound = 1.5 * self.rate + 5
+
+    def assert_kept(self, arrivals):
+        self.assertLessEqual(count_largest_window(arrivals, 1.0), self.bound)
+
+    def test_rate_is_kept_and_used(self):
+        for host in self.hosts:
+            host.clock_offset = self.random.uniform(-0.2, 0.2)
+        arrivals = play(self.hosts, self.rate, self.random, restarts=40)
+        self.assert_kept(arrivals)
+        self.assertGreaterEqual(len(arrivals), 0.8 * self.rate * DAY_SECONDS)
+
+    def test_rate_is_kept_by_a_fleet_cut_in_two(self):
+        """One zone is cut off from two, which still hear each other."""
+        names = self.hosts[0].fleet.zones
+        for host in self.hosts:
+            zone = host.fleet.own_zone
+            zones = names[:1] if zone == names[0] else names[1:]
+            host.fleet = replace(
+                host.fleet, zones=zones, visible_ratio=len(zones) / len(names)
+            )
+        self.assert_kept(play(self.hosts, self.rate, self.random))
+
+    def test_limit_rises_in_steps_after_the_cold_period(self):
+        cold_start = ColdStart(3.0, self.rate)
+        limits = [
+            cold_start.compute_limit(10.0, now) for now in (9.9, 10, 11, 12)
+        ]
+        self.assertEqual(
+            limits, [self.rate, 2 * self.rate, 4 * self.rate, None]
+        )
+
+
 class SendBudgetTest(unittest.TestCase):
     """Estimate when a host may send again."""
 
--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -25,6 +25,7 @@
 control = "127.0.0.1:{control}"
 [bounds]
 grace_s = 8
+evacuate_ms = 5000
 [platform]
 address = "127.0.0.1:{store}"
 [cloud]
--- a/tests/gateway/test_autoscaling.py
+++ b/tests/gateway/test_autoscaling.py
@@ -137,6 +137,17 @@
         await autoscaler.step(HOLDER)
         self.assertIn(('a', False, 0), self.list_orders())
 
+    async def test_evacuated_zone_keeps_its_servers_and_gets_no_more(self):
+        for zone in ZONES:
+            self.register(zone, True, 2)
+        autoscaler = self.make_autoscaler()
+        self.adopt(RecordKind.evacuation, 'a', {'by': 'operator'})
+        self.send_load(autoscaler, 10, tokens=100_000)
+        await autoscaler.step(HOLDER)
+        # A demand of 2.5 to 3 servers, at a utilization of a quarter, in the
+        # two zones that are left.
+        self.assertEqual(self.list_orders(), [('b', True, 6), ('c', True, 6)])
+
     async def test_refused_orders_back_off(self):
         """Without backoff, a zone exhausted for 30 s refused 79 calls."""
         for zone in ZONES:
--- a/tests/gateway/test_proxy.py
+++ b/tests/gateway/test_proxy.py
@@ -128,7 +128,7 @@
         self.signals = ServerSignals(
             board, self.record_cache, self.loads, fleet, clock
         )
-        server_selector = ServerSelector(
+        self.server_selector = ServerSelector(
             self.record_cache,
             self.loads,
             self.rollouts,
@@ -138,7 +138,7 @@
             Random(1),
         )
         self.run_mover = RunMover(
-            self.record_cache, server_selector, self.engines, 0, clock
+            self.record_cache, self.server_selector, self.engines, 0, clock
         )
         self.dialect = PlatformDialect()
         self.admission_check = AdmissionCheck(
@@ -152,7 +152,7 @@
             RequestDependencies(
                 self.admission_check,
                 self.screener,
-                server_selector,
+                self.server_selector,
                 RetryPolicy(Bounds(), clock, lambda: 1),
                 Sender(self.dialect, clock, self.signals),
                 self.loads,
@@ -534,6 +534,20 @@
         self.assertEqual(caller.body, self.expected)
         self.assertEqual(self.count_arrivals(), [2, 0])
 
+    async def test_run_that_was_not_copied_leaves_an_evacuated_zone(self):
+        """No request may reach the zone, so the stream ends there."""
+        self.add_stream(self.primary, 1, 2, 0.4)
+        self.primary.responses[-1].append('close')
+        self.add_stream(self.primary, 3, 4, STREAM_END)
+        asyncio.get_running_loop().call_later(
+            0.05,
+            self.record_cache.adopt,
+            Record(RecordKind.evacuation, 'zone-a', 2, b'{}'),
+        )
+        caller = await self.move_current_run(MoveResult('h1', copied=False))
+        self.assertEqual(caller.ending, 'cut')
+        self.assertEqual(self.count_arrivals(), [1, 0])
+
     async def test_run_that_was_not_stopped_stays(self):
         caller = await self.run_move(MoveResult(detail='status 404'))
         self.assertEqual(caller.ending, 'cut')
--- a/tests/gateway/test_record_cache.py
+++ b/tests/gateway/test_record_cache.py
@@ -85,6 +85,23 @@
         record_cache.adopt(Record(RecordKind.catalogue, 'main', 9, b'[]'))
         self.assertEqual(record_cache.catalogue.version, 3)
 
+    def test_zone_is_evacuated_while_its_record_is_present(self):
+        record_cache = make_record_cache()
+        present = Record(RecordKind.evacuation, 'zone-a', 4, b'{}')
+        record_cache.adopt(present)
+        self.assertEqual(record_cache.evacuations.zones, {'zone-a'})
+        record_cache.adopt_listing(RecordKind.evacuation, Listing((), 5))
+        self.assertEqual(record_cache.evacuations.zones, set())
+        self.assertFalse(record_cache.adopt(present))
+        self.assertEqual(record_cache.evacuations.zones, set())
+
+    def test_evacuation_that_an_older_copy_lacks_stays_in_force(self):
+        record_cache = make_record_cache()
+        record_cache.adopt(Record(RecordKind.evacuation, 'zone-a', 4, b'{}'))
+        older_copy = Listing((), 3, era=1)
+        record_cache.adopt_listing(RecordKind.evacuation, older_copy)
+        self.assertEqual(record_cache.evacuations.zones, {'zone-a'})
+
     @given(histories, st.randoms(use_true_random=False))
     def test_order_of_arrival_does_not_matter(self, history, random):
         records = []
