--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -71,7 +71,12 @@
         return send(self.store_port, 'POST', '/control', settings).status == 200
 
     def start_gateway(
-        self, name='edge-1', seeds=(), ports=None, output=subprocess.PIPE
+        self,
+        name='edge-1',
+        seeds=(),
+        ports=None,
+        output=subprocess.PIPE,
+        extra='',
     ):
         ports = ports or {
             listener: find_free_port()
@@ -83,6 +88,7 @@
             SETTINGS.format(
                 name=name, seeds=seed_list, store=self.store_port, **ports
             )
+            + extra
         )
         process = self.spawn(
             '-m',
