Bound what a process holds of its callers

What callers saw: a process ended, out of memory, and with it all its requests.

Cause: nothing bounded what all channels hold together. Bodies were kept as lists of pieces and copied when joined; a response was read from its server as fast as it came, whether its caller read it or not; heads of 64 kB were read on any number of channels; and the last request of each closed channel was kept, since tornado does not report closed channels to its delegate.

Ruled out: smaller bodies, a bound for each address, time limits alone (docs/design/intake.md).

--- a/src/monsoonwall/gateway/callers.py
+++ b/src/monsoonwall/gateway/callers.py
@@ -21,6 +21,10 @@
     def write(self, content: bytes) -> None:
         """Write a part of the body."""
 
+    @abstractmethod
+    async def drain(self) -> None:
+        """Wait until the caller has read most of what was written."""
+
     @abstractmethod
     def finish(self) -> None:
         """Complete the response."""
--- a/src/monsoonwall/gateway/dialect.py
+++ b/src/monsoonwall/gateway/dialect.py
@@ -83,6 +83,10 @@
     def read_attempt_id(self, headers: HTTPHeaders) -> str:
         """Return the id that a caller gave its request, or an empty string."""
 
+    @abstractmethod
+    def read_key(self, headers: HTTPHeaders) -> str:
+        """Return the key that a caller sent, or an empty string."""
+
     @abstractmethod
     def write_attempt(self, attempt: Attempt, now: float) -> OutgoingRequest:
         """Return the HTTP request of an attempt; ``now`` is monotonic."""
--- a/src/monsoonwall/gateway/ingress.py
+++ b/src/monsoonwall/gateway/ingress.py
@@ -9,30 +9,43 @@
 
 from returns.pipeline import is_successful
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPHeaders,
-    HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
     RequestStartLine,
     ResponseStartLine,
 )
+from tornado.iostream import StreamClosedError
 
 from monsoonwall.clocks import Clock
+from monsoonwall.decisions.intake import IntakeLimits
 from monsoonwall.gateway.callers import Caller
 from monsoonwall.gateway.dialect import Dialect
 from monsoonwall.gateway.model import CallerRequest, Limits
 from monsoonwall.logs import make_logger
 from monsoonwall.pipeline.messages import Effect, Refusal, RefusalReason
 from monsoonwall.settings import split_address
+from monsoonwall.transport.intake import (
+    READ_BYTES,
+    ChannelReceiver,
+    IntakeServer,
+    RequestIntake,
+    RequestReceiver,
+)
 
 # Longer than any idle timeout that operators set, so that no channel is closed
 # while its caller may still use it.
 _IDLE_SECONDS: Final = 90.0
 _BODY_SECONDS: Final = 15.0
-_MAX_HEADER_BYTES: Final = 65_536
-# The largest body accepted before a configuration is loaded.
+# The largest head and body accepted before a configuration is loaded.
+_DEFAULT_HEADER_BYTES: Final = 65_536
 _DEFAULT_BODY_BYTES: Final = 4_194_304
+# Added to the largest head that is configured, for its first line and end.
+_HEADER_MARGIN_BYTES: Final = 1024
+# When to return if there was no memory for the body.
+_RETRY_SECONDS: Final = 1.0
+# A response is not read on from its server while its caller has left more than
+# this unread.
+_MAX_UNSENT_BYTES: Final = 32_768
 
 _log = make_logger('ingress')
 
@@ -52,8 +65,12 @@
 class _HttpCaller(Caller):
     """Write a response on a caller's channel."""
 
-    def __init__(self, connection: HTTP1Connection) -> None:
+    def __init__(
+        self, connection: HTTP1Connection, intake: RequestIntake
+    ) -> None:
         self._connection = connection
+        self._intake = intake
+        self._unsent_bytes = 0
         self._started = False
 
     @property
@@ -72,6 +89,18 @@
     def write(self, content: bytes) -> None:
         """Write a part of the body."""
         self._connection.write(content)
+        self._intake.record_write(self._connection, len(content))
+        self._unsent_bytes += len(content)
+
+    async def drain(self) -> None:
+        """Wait until the caller has read most of what was written."""
+        stream = self._connection.stream
+        if stream is None or not stream.writing():
+            self._unsent_bytes = 0
+        elif self._unsent_bytes > _MAX_UNSENT_BYTES:
+            with suppress(StreamClosedError):
+                await stream.write(b'')
+            self._unsent_bytes = 0
 
     def finish(self) -> None:
         """Complete the response."""
@@ -82,7 +111,7 @@
         self._connection.close()
 
 
-class _Exchange(HTTPMessageDelegate):
+class _Exchange(RequestReceiver):
     """Read one request and start serving it."""
 
     def __init__(self, ingress: 'Ingress', connection: HTTP1Connection) -> None:
@@ -90,7 +119,7 @@
         self._ingress = ingress
         self._start_line = RequestStartLine('', '', '')
         self._headers = HTTPHeaders()
-        self._chunks: list[bytes] = []
+        self._body = b''
         self._serving: asyncio.Task[None] | None = None
         self._refused = False
         self._closed = False
@@ -122,9 +151,15 @@
             )
 
     def data_received(self, chunk: bytes) -> None:
-        """Store a part of the body."""
-        if not self._refused:
-            self._chunks.append(chunk)
+        """Store the body."""
+        self._body = chunk
+
+    def refuse_unread(self, detail: str) -> None:
+        """Refuse the request, whose body has not been read to its end."""
+        self._refused = True
+        self._ingress.refuse(
+            self, self._headers, RefusalReason.overloaded, detail
+        )
 
     def finish(self) -> None:
         """Start serving the request, which has arrived completely."""
@@ -137,10 +172,10 @@
         self.connection.set_close_callback(self._cancel)
         self._serving = asyncio.ensure_future(
             self._ingress.serve(
-                self, self._start_line, self._headers, b''.join(self._chunks)
+                self, self._start_line, self._headers, self._body
             )
         )
-        self._chunks = []
+        self._body = b''
 
     def on_connection_close(self) -> None:
         """Drop a request whose caller disconnected before it was complete."""
@@ -152,7 +187,7 @@
             self._serving.cancel()
 
 
-class Ingress(HTTPServerConnectionDelegate):
+class Ingress(ChannelReceiver):
     """Run the HTTP server for callers, and track its active requests."""
 
     def __init__(
@@ -162,6 +197,7 @@
         handler: RequestHandler,
         clock: Clock,
         find_limits: Callable[[], Limits | None],
+        intake_limits: IntakeLimits,
     ) -> None:
         self._address = address
         self._dialect = dialect
@@ -172,9 +208,11 @@
         self._active: set[_Exchange] = set()
         self._idle = asyncio.Event()
         self._closing = False
-        self._server = HTTPServer(
-            self,
-            max_header_size=_MAX_HEADER_BYTES,
+        self._intake = RequestIntake(self, intake_limits, clock)
+        self._server = IntakeServer(
+            self._intake,
+            max_header_size=_DEFAULT_HEADER_BYTES,
+            chunk_size=READ_BYTES,
             idle_connection_timeout=_IDLE_SECONDS,
             body_timeout=_BODY_SECONDS,
         )
@@ -190,6 +228,10 @@
         limits = self._find_limits()
         return limits.max_body_bytes if limits else _DEFAULT_BODY_BYTES
 
+    def read_owner(self, headers: HTTPHeaders) -> str:
+        """Return the key that a request carries, or an empty string."""
+        return self._dialect.read_key(headers)
+
     def listen(self) -> None:
         """Start accepting connections."""
         host, port = split_address(self._address)
@@ -197,8 +239,13 @@
 
     def start_request(
         self, server_conn: object, request_conn: Any
-    ) -> HTTPMessageDelegate:
-        """Return the delegate that reads the next request of a channel."""
+    ) -> RequestReceiver:
+        """Return the receiver of the next request of a channel."""
+        limits = self._find_limits()
+        if limits is not None:
+            self._server.conn_params.max_header_size = (
+                limits.max_header_bytes + _HEADER_MARGIN_BYTES
+            )
         exchange = _Exchange(self, request_conn)
         if self._closing:
             # A response that began before shutdown kept the channel open.
@@ -238,7 +285,7 @@
         body: bytes,
     ) -> None:
         """Decode and serve one request, then stop counting it as active."""
-        caller = _HttpCaller(exchange.connection)
+        caller = _HttpCaller(exchange.connection, self._intake)
         now = self._clock.read_monotonic()
         decoded = self._dialect.read_request(start_line, headers, body, now)
         try:
@@ -277,10 +324,16 @@
         detail: str,
     ) -> None:
         """Refuse a request before its body has arrived."""
+        is_temporary = reason is RefusalReason.overloaded
         self._handler.refuse(
             self._dialect.read_attempt_id(headers),
-            _HttpCaller(exchange.connection),
-            Refusal(reason, Effect.not_run, detail),
+            _HttpCaller(exchange.connection, self._intake),
+            Refusal(
+                reason,
+                Effect.not_run,
+                detail,
+                _RETRY_SECONDS if is_temporary else None,
+            ),
         )
 
 
--- a/src/monsoonwall/gateway/model.py
+++ b/src/monsoonwall/gateway/model.py
@@ -121,6 +121,7 @@
     """Limits on the requests of callers."""
 
     max_body_bytes: int
+    max_header_bytes: int = 65_536
 
 
 @dataclass(frozen=True)
--- a/src/monsoonwall/gateway/response_writers.py
+++ b/src/monsoonwall/gateway/response_writers.py
@@ -34,6 +34,9 @@
         """Buffer a part of the body."""
         self._pieces.append(content)
 
+    async def drain(self) -> None:
+        """Return at once: the caller gets nothing before the end."""
+
     async def finish(self, ending: ResponseEnding) -> bool:
         """Relay the response if it is complete."""
         if ending is ResponseEnding.broken or self._head is None:
@@ -101,6 +104,10 @@
                     self._progress.last_event_id = event.event_id
                 self._caller.write(event.content)
 
+    async def drain(self) -> None:
+        """Wait until the caller has read most of the events."""
+        await self._caller.drain()
+
     async def finish(self, ending: ResponseEnding) -> bool:
         """Complete the caller's stream if the server's stream is complete."""
         if ending is ResponseEnding.broken or self._splitter.partial:
--- a/src/monsoonwall/gateway/sending.py
+++ b/src/monsoonwall/gateway/sending.py
@@ -79,6 +79,10 @@
     def write(self, content: bytes) -> None:
         """Receive a part of the body."""
 
+    @abstractmethod
+    async def drain(self) -> None:
+        """Wait until the caller has read enough for more to be written."""
+
     @abstractmethod
     async def finish(self, ending: ResponseEnding) -> bool:
         """Receive the end; return whether the response is complete."""
@@ -233,6 +237,7 @@
             message: Message = await self._channel.receive()
             if isinstance(message, BodyChunk):
                 self._writer.write(message.content)
+                await self._writer.drain()
             elif isinstance(message, ResponseEnding):
                 return await self._finish_relay(message)
 
--- a/src/monsoonwall/gateway/serving.py
+++ b/src/monsoonwall/gateway/serving.py
@@ -94,6 +94,7 @@
             ProxyHandler(dependencies),
             clock,
             lambda: record_cache.catalogue and record_cache.catalogue.limits,
+            settings.intake,
         )
 
     def exchange_loads(self) -> None:
--- a/src/monsoonwall/gateway/settings.py
+++ b/src/monsoonwall/gateway/settings.py
@@ -1,6 +1,18 @@
 """Define the settings of a gateway: its host, its peers and its bounds."""
 
 from dataclasses import dataclass
+from typing import Final
+
+from monsoonwall.decisions.intake import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_MEGABYTES,
+    IntakeLimits,
+    make_intake_limits,
+)
+
+_DEFAULT_INTAKE: Final = make_intake_limits(
+    DEFAULT_MEMORY_MEGABYTES, DEFAULT_DESCRIPTORS
+)
 
 
 @dataclass(frozen=True)
@@ -44,7 +56,8 @@
 
     Callers connect to ``front_address``. ``seeds`` are mesh addresses of other
     hosts. ``duties_address`` is empty if there are no duties. ``first_start``
-    is true if the whole system starts for the first time.
+    is true if the whole system starts for the first time. ``intake`` bounds
+    what the process holds of all its callers.
     """
 
     host_name: str
@@ -61,3 +74,4 @@
     orders_servers: bool = False
     first_start: bool = False
     bounds: Bounds = Bounds()
+    intake: IntakeLimits = _DEFAULT_INTAKE
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -170,6 +170,15 @@
     'Repetitions that this host may still send, as of the last decision.',
     ('service',),
 )
+INTAKE_BYTES = Gauge(
+    'monsoonwall_intake_bytes',
+    'Bytes held of callers when memory was last scarce.',
+)
+INTAKE_CLOSED = Counter(
+    'monsoonwall_intake_closed_total',
+    'Channels of clients outside the limits that were closed, by reason.',
+    ('reason',),
+)
 GATEWAY_EVACUATED_ZONES = Gauge(
     'monsoonwall_gateway_evacuated_zones',
     "Zones whose servers get no requests at an operator's order.",
--- a/src/monsoonwall/platform/dialect.py
+++ b/src/monsoonwall/platform/dialect.py
@@ -136,7 +136,7 @@
                 target=start_line.path,
                 path=start_line.path.partition('?')[0],
                 host=hosts[0].partition(':')[0].lower(),
-                key=headers.get(_API_KEY, ''),
+                key=self.read_key(headers),
                 received_at=now,
                 deadline=now + remaining_seconds,
                 passed_headers=tuple(forwarded.get_all()),
@@ -153,6 +153,10 @@
             return ''
         return attempt_ids[0].strip()
 
+    def read_key(self, headers: HTTPHeaders) -> str:
+        """Return the key that a caller sent, or ''."""
+        return headers.get(_API_KEY, '')
+
     def write_attempt(self, attempt: Attempt, now: float) -> OutgoingRequest:
         """Return the HTTP request of an attempt; ``now`` is monotonic."""
         request = attempt.request
--- a/src/monsoonwall/platform/documents.py
+++ b/src/monsoonwall/platform/documents.py
@@ -94,6 +94,7 @@
 
 class _Limits(Struct):
     max_body_bytes: int = 4_194_304
+    max_header_bytes: int = 65_536
 
 
 class _Configuration(Struct):
@@ -197,7 +198,7 @@
         routes=tuple(map(_make_route, spec.routes)),
         services={entry.name: _make_service(entry) for entry in spec.services},
         workspaces=tuple(map(_make_workspace, spec.tenants)),
-        limits=Limits(spec.limits.max_body_bytes),
+        limits=Limits(spec.limits.max_body_bytes, spec.limits.max_header_bytes),
     )
 
 
--- a/src/monsoonwall/platform/machine.py
+++ b/src/monsoonwall/platform/machine.py
@@ -8,6 +8,11 @@
 from msgspec import Struct, ValidationError, convert, field
 from returns.result import Failure, Result, Success
 
+from monsoonwall.decisions.intake import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_MEGABYTES,
+    make_intake_limits,
+)
 from monsoonwall.findings import Finding
 from monsoonwall.gateway.settings import Bounds, GatewaySettings
 
@@ -44,6 +49,11 @@
     evacuate_ms: float = 0
 
 
+class _Limits(Struct):
+    memory_mb: float = DEFAULT_MEMORY_MEGABYTES
+    max_fds: int = DEFAULT_DESCRIPTORS
+
+
 class _Store(Struct):
     address: str
 
@@ -65,6 +75,7 @@
     seed_addrs: list[str] = field(default_factory=list)
     zones: dict[str, str] = field(default_factory=dict)
     bounds: _Bounds = field(default_factory=_Bounds)
+    limits: _Limits = field(default_factory=_Limits)
     cloud: _Cloud = field(default_factory=_Cloud)
 
 
@@ -111,6 +122,9 @@
         orders_servers=_AUTOSCALE_DUTY in cloud.duties,
         first_start=machine.bootstrap,
         bounds=_make_bounds(machine.bounds),
+        intake=make_intake_limits(
+            machine.limits.memory_mb, machine.limits.max_fds
+        ),
     )
 
 
--- a/src/monsoonwall/settings.py
+++ b/src/monsoonwall/settings.py
@@ -22,6 +22,10 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from monsoonwall.decisions.intake import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_MEGABYTES,
+)
 from monsoonwall.findings import Finding
 from monsoonwall.mesh.settings import MeshSettings
 
@@ -61,6 +65,8 @@
     cloud_address: str = ''
     lease_seconds: float = 12
     platform_listing: bool = True
+    memory_megabytes: float = DEFAULT_MEMORY_MEGABYTES
+    max_descriptors: int = DEFAULT_DESCRIPTORS
 
     @property
     def mesh(self) -> MeshSettings:
@@ -186,6 +192,8 @@
             cloud_address=values['cloud_address'].value,
             lease_seconds=values['lease_seconds'].value,
             platform_listing=values['platform_listing'].value,
+            memory_megabytes=values['memory_megabytes'].value,
+            max_descriptors=values['max_descriptors'].value,
         )
     )
 
@@ -284,6 +292,20 @@
         flag_values=values,
         lower_bound=1,
     )
+    DEFINE_float(
+        'memory_megabytes',
+        DEFAULT_MEMORY_MEGABYTES,
+        'Memory of this host; a part of it holds what callers send.',
+        flag_values=values,
+        lower_bound=1,
+    )
+    DEFINE_integer(
+        'max_descriptors',
+        DEFAULT_DESCRIPTORS,
+        'Descriptors of this process; a part of them is for callers.',
+        flag_values=values,
+        lower_bound=1,
+    )
     DEFINE_bool(
         'platform_listing',
         True,
--- a/src/monsoonwall/transport/channels.py
+++ b/src/monsoonwall/transport/channels.py
@@ -32,6 +32,8 @@
 _MAX_HEADER_BYTES: Final = 65_536
 # Lists of objects from the metadata store take megabytes.
 MAX_CALL_BYTES: Final = 16_000_000
+# A response is not read on while more of it than this has not been received.
+_MAX_QUEUED_BYTES: Final = 32_768
 
 Message = Head | BodyChunk | ResponseEnding
 
@@ -46,6 +48,8 @@
         self._stream = stream
         self._framed = True
         self._ended = False
+        self._queued_bytes = 0
+        self._consumed: asyncio.Future[None] | None = None
 
     def headers_received(
         self,
@@ -58,9 +62,28 @@
             self._framed = is_framed(headers)
             self.messages.put_nowait(Head(status, headers))
 
-    def data_received(self, chunk: bytes) -> None:
-        """Queue some bytes of the body."""
+    def data_received(self, chunk: bytes) -> 'asyncio.Future[None] | None':
+        """Queue some bytes of the body; return when more may be read."""
         self.messages.put_nowait(BodyChunk(chunk))
+        self._queued_bytes += len(chunk)
+        if self._queued_bytes <= _MAX_QUEUED_BYTES:
+            return None
+        self._consumed = asyncio.get_running_loop().create_future()
+        return self._consumed
+
+    async def receive(self) -> Message:
+        """Return the next part; more of the response may then be read."""
+        message = await self.messages.get()
+        if isinstance(message, BodyChunk):
+            self._queued_bytes -= len(message.content)
+            if self._queued_bytes <= _MAX_QUEUED_BYTES:
+                self.read_on()
+        return message
+
+    def read_on(self) -> None:
+        """Let the rest of the response be read."""
+        if self._consumed is not None and not self._consumed.done():
+            self._consumed.set_result(None)
 
     def finish(self) -> None:
         """Queue the ending of a response that was parsed to its end."""
@@ -136,7 +159,7 @@
 
     async def receive(self) -> Message:
         """Wait for the next part of the response and return it."""
-        return await self._receiver.messages.get()
+        return await self._receiver.receive()
 
     async def receive_rest(
         self, head: Head, max_bytes: int = MAX_CALL_BYTES
@@ -164,6 +187,7 @@
     def close(self) -> None:
         """Close the connection."""
         self._stream.close()
+        self._receiver.read_on()
 
     def _start_reading(self, connection: HTTP1Connection) -> None:
         receiver = _Receiver(self._stream)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -140,6 +140,9 @@
     def write(self, content):
         self.body += content
 
+    async def drain(self):
+        """Return at once, since the caller reads everything."""
+
     def finish(self):
         self.ending = 'finished'
 
--- a/tests/gateway/test_ingress.py
+++ b/tests/gateway/test_ingress.py
@@ -7,6 +7,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from monsoonwall.clocks import ManualClock
+from monsoonwall.decisions.intake import make_intake_limits
 from monsoonwall.gateway.ingress import Ingress, RequestHandler
 from monsoonwall.platform.dialect import PlatformDialect
 
@@ -38,6 +39,7 @@
             self.handler,
             ManualClock(),
             lambda: None,
+            make_intake_limits(160, 1200),
         )
         self.connection = create_autospec(HTTP1Connection, instance=True)
 
