Serve no request whose channel the intake has closed

If the intake had closed the channel for lack of progress, the rest of the body and its end still arrived, and the request was passed on with an empty body or a part of it; its memory was counted and never returned.

Change: a request whose channel was closed or that was refused takes no more of its body, and its end is reported as a closed channel.

Before: two of the new tests of tests.transport.test_intake failed; after: they pass, and the tests of crowds as before.

--- a/src/monsoonwall/transport/intake.py
+++ b/src/monsoonwall/transport/intake.py
@@ -110,6 +110,8 @@
 
     def data_received(self, chunk: bytes) -> 'asyncio.Future[None] | None':
         """Store a part of the body; return when more of it may be read."""
+        if self._closed:
+            return None
         if self._receiver.takes_pieces:
             return self._receiver.data_received(chunk)
         self._body += chunk
@@ -122,6 +124,10 @@
 
     def finish(self) -> None:
         """Pass the complete body on."""
+        if self._closed:
+            # Tornado still delivers what it had read before the channel closed.
+            self._receiver.on_connection_close()
+            return
         if self._holding is not None:
             self._intake.account.complete(self._holding)
             body = bytes(self._body)
@@ -150,6 +156,7 @@
 
     def refuse(self, detail: str) -> None:
         """Refuse the request, which closes the channel."""
+        self._closed = True
         self.release()
         self._receiver.refuse_unread(detail)
         self.resume()
