Refuse declared lengths of thousands of digits again

Change: one function reads it for both.

Before: the new test failed (no response, a traceback in the log). After: it passes, with the tests of the intake.

--- a/src/monsoonwall/decisions/intake.py
+++ b/src/monsoonwall/decisions/intake.py
@@ -86,7 +86,7 @@
         return now - self.progressed_at >= _STALL_SECONDS
 
     def record_progress(self, size: int, now: float) -> None:
-        """Count bytes that were received, or sent to a caller."""
+        """Count bytes that were received."""
         self.counted += size
         if self.counted >= _PROGRESS_BYTES:
             self.counted = 0
--- a/src/monsoonwall/entry/intake.py
+++ b/src/monsoonwall/entry/intake.py
@@ -18,6 +18,14 @@
 from monsoonwall.transport.intake import ChannelReceiver, RequestReceiver
 
 _RETRY_SECONDS: Final = 1
+_MAX_LENGTH_DIGITS: Final = 15
+
+
+def read_content_length(headers: HTTPHeaders) -> int:
+    """Return the declared length of a body, or 0."""
+    # Python raises an error on parsing a number of thousands of digits.
+    length = headers.get('Content-Length', '')[:_MAX_LENGTH_DIGITS]
+    return int(length) if length.isdecimal() else 0
 
 
 class _ApplicationRequest(RequestReceiver):
@@ -49,9 +57,8 @@
         headers: HTTPHeaders,
     ) -> Any:
         """Pass the head on."""
-        declared = headers.get('Content-Length', '')
         self._discards_body = (
-            declared.isdecimal() and int(declared) > self._max_body_bytes
+            read_content_length(headers) > self._max_body_bytes
         )
         return self._delegate.headers_received(start_line, headers)
 
--- a/src/monsoonwall/entry/web.py
+++ b/src/monsoonwall/entry/web.py
@@ -13,6 +13,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler, stream_request_body
 
+from monsoonwall.entry.intake import read_content_length
 from monsoonwall.entry.requests import RequestTasks, count_refusal
 from monsoonwall.entry.responses import (
     SERVICE_UNAVAILABLE,
@@ -38,7 +39,6 @@
 _BODY_LIMIT_SETTING: Final = 'max_body_bytes'
 _MAX_BODY_BYTES: Final = 1_000_000
 _MAX_DISCARDED_BYTES: Final = 64_000_000
-_MAX_LENGTH_DIGITS: Final = 15
 _SEE_OTHER: Final = 303
 
 
@@ -241,7 +241,7 @@
 
     def prepare(self) -> None:
         """Refuse at once a body that is too large even to be discarded."""
-        if _read_content_length(self.request) > _MAX_DISCARDED_BYTES:
+        if read_content_length(self.request.headers) > _MAX_DISCARDED_BYTES:
             self._refuse_body()
         else:
             self.request.connection.set_max_body_size(_MAX_DISCARDED_BYTES)
@@ -275,7 +275,10 @@
         self, request: HTTPServerRequest, **options: Any
     ) -> HTTPMessageDelegate:
         """Return the handler of a request whose headers have arrived."""
-        if _read_content_length(request) > self.settings[_BODY_LIMIT_SETTING]:
+        if (
+            read_content_length(request.headers)
+            > self.settings[_BODY_LIMIT_SETTING]
+        ):
             return self.get_handler_delegate(request, TooLargeHandler)
         return super().find_handler(request, **options)
 
@@ -294,12 +297,6 @@
         )
 
 
-def _read_content_length(request: HTTPServerRequest) -> int:
-    # Python raises an error on parsing a number of thousands of digits.
-    length = request.headers.get('Content-Length', '')[:_MAX_LENGTH_DIGITS]
-    return int(length) if length.isdecimal() else 0
-
-
 def make_routes(
     state: HostState, tasks: RequestTasks, finder: AnswerFinder
 ) -> list[Any]:
--- a/src/monsoonwall/gateway/limit_shares.py
+++ b/src/monsoonwall/gateway/limit_shares.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Container
 from dataclasses import dataclass, field
+from typing import Final
 
 from monsoonwall.clocks import Clock, SteadyWallClock
 from monsoonwall.decisions.server_limits import (
@@ -13,7 +14,7 @@
 from monsoonwall.gateway.model import BackendServer
 
 # A share is computed anew this often, since hosts come and go within a turn.
-_SHARE_SECONDS = 1.0
+_SHARE_SECONDS: Final = 1.0
 
 
 @dataclass
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -59,6 +59,13 @@
                 received += chunk
         return received
 
+    def test_length_of_thousands_of_digits_is_refused(self):
+        """Reading it raised an error, which closed the connection."""
+        head = f'POST {COMPLETIONS} HTTP/1.1\r\nHost: desk\r\n'
+        length = f'Content-Length: {"9" * 5000}\r\n\r\n'
+        received = self.send_bytes((head + length).encode())
+        self.assertIn(b'413', received.partition(b'\r\n')[0])
+
     def send_body(self, path, body, method='POST'):
         """Send a body unchanged; return the status and the error code."""
         with socket.create_connection(('127.0.0.1', self.port), 10) as caller:
