Read declared body lengths by one function at all entrances

Cause: the gateway's ingress read the length without a bound on its digits as well; Python raises an error on thousands of them.

Change: the function moves to transport.messages, and both roles use it.

Checked: formatter, linters, the tests of bad input, the ingress, channels, the intake and crowds pass. The gateway has no test of such a length of its own.

--- a/src/monsoonwall/entry/intake.py
+++ b/src/monsoonwall/entry/intake.py
@@ -16,16 +16,9 @@
 from monsoonwall.entry.responses import choose_status, describe_refusal
 from monsoonwall.pipeline.messages import Effect, Refusal, RefusalReason
 from monsoonwall.transport.intake import ChannelReceiver, RequestReceiver
+from monsoonwall.transport.messages import read_content_length
 
 _RETRY_SECONDS: Final = 1
-_MAX_LENGTH_DIGITS: Final = 15
-
-
-def read_content_length(headers: HTTPHeaders) -> int:
-    """Return the declared length of a body, or 0."""
-    # Python raises an error on parsing a number of thousands of digits.
-    length = headers.get('Content-Length', '')[:_MAX_LENGTH_DIGITS]
-    return int(length) if length.isdecimal() else 0
 
 
 class _ApplicationRequest(RequestReceiver):
--- a/src/monsoonwall/entry/web.py
+++ b/src/monsoonwall/entry/web.py
@@ -13,7 +13,6 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler, stream_request_body
 
-from monsoonwall.entry.intake import read_content_length
 from monsoonwall.entry.requests import RequestTasks, count_refusal
 from monsoonwall.entry.responses import (
     SERVICE_UNAVAILABLE,
@@ -33,6 +32,7 @@
 )
 from monsoonwall.pipeline.request_parsing import CallerRequest
 from monsoonwall.streams.finding import AnswerFinder, FoundAnswer
+from monsoonwall.transport.messages import read_content_length
 
 _JSON: Final = 'application/json'
 _INTERNAL_SERVER_ERROR: Final = 500
--- a/src/monsoonwall/gateway/ingress.py
+++ b/src/monsoonwall/gateway/ingress.py
@@ -31,6 +31,7 @@
     RequestIntake,
     RequestReceiver,
 )
+from monsoonwall.transport.messages import read_content_length
 
 # Longer than any idle timeout that operators set, so that no channel is closed
 # while its caller may still use it.
@@ -140,8 +141,7 @@
         self._headers = headers
         max_bytes = self._ingress.max_body_bytes
         self.connection.set_max_body_size(max_bytes)
-        declared = headers.get('Content-Length', '')
-        if declared.isdecimal() and int(declared) > max_bytes:
+        if read_content_length(headers) > max_bytes:
             self._refused = True
             self._ingress.refuse(
                 self,
--- a/src/monsoonwall/transport/messages.py
+++ b/src/monsoonwall/transport/messages.py
@@ -3,9 +3,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Final
 
 from tornado.httputil import HTTPHeaders
 
+_MAX_LENGTH_DIGITS: Final = 15
+
 
 @dataclass(frozen=True)
 class OutgoingRequest:
@@ -67,6 +70,13 @@
     return 'Content-Length' in headers or 'Transfer-Encoding' in headers
 
 
+def read_content_length(headers: HTTPHeaders) -> int:
+    """Return the declared length of a body, or 0."""
+    # Python raises an error on parsing a number of thousands of digits.
+    length = headers.get('Content-Length', '')[:_MAX_LENGTH_DIGITS]
+    return int(length) if length.isdecimal() else 0
+
+
 def copy_headers(headers: HTTPHeaders, dropped: Iterable[str]) -> HTTPHeaders:
     """Copy headers, without ``dropped`` ones (names in lower case)."""
     new_headers = HTTPHeaders()
