Show that a store that ignores its watchers leaves others on old versions

Three of nine hosts, those that watch the store, get no answers from it; the others run requests by the old version, also with a key that was taken away, until 2.60 to 2.96 s after a change is acknowledged (2 s allowed).

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,114 +1,184 @@
-"""A host gets SIGTERM while requests wait behind another on their channel."""
+"""The store turns away the hosts that watch it, before a change."""
 
 import asyncio
-import secrets
-import signal
 import sys
 import time
+from contextlib import suppress
+from copy import deepcopy
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'harness-2'))
 
 from standins import (
-    HOST,
     AppServer,
-    make_request,
-    read_response,
+    fetch,
+    make_caller_headers,
     run_case,
 )
 
-CHANNELS = 6
-# The first request of each channel is at work this long.
-LONG_SECONDS = 3.5
-GRACE_SECONDS = 8
+HOSTS = 9
+KINDS = ('config', 'servers', 'rollouts')
+# Longer than a host watches without an answer.
+WATCH_SECONDS = 2.2
+CONFIG_SECONDS = 2.0
+TURNED_AWAY_SECONDS = 9.0
 CONFIGURATION = {
     'version': 1,
     'routes': [
         {
-            'name': 'look',
-            'host': HOST,
-            'path_prefix': '/look/',
-            'kind': 'idempotent',
-            'timeout_ms': 15000,
-            'target_latency_ms': 12000,
+            'name': 'reserve',
+            'host': 'desk.example',
+            'path_prefix': '/reserve/',
+            'kind': 'non_idempotent',
+            'timeout_ms': 1500,
+            'target_latency_ms': 400,
             'priority': 2,
             'service': 'ledger',
             'max_attempts': 1,
             'auth_exempt': False,
         }
     ],
-    'services': [{'name': 'ledger', 'health_path': '/health'}],
+    'services': [
+        {'name': 'ledger', 'health_path': '/health'},
+        {'name': 'archive', 'health_path': '/health'},
+        {'name': 'catalogue', 'health_path': '/health'},
+    ],
     'limits': {
         'max_header_bytes': 16384,
         'max_body_bytes': 4194304,
         'header_timeout_ms': 3000,
         'idle_timeout_ms': 15000,
     },
-    'tenants': [{'name': 'depot', 'api_keys': ['key-1']}],
+    'tenants': [
+        {'name': 'depot', 'api_keys': ['key-1']},
+        {'name': 'clinic', 'api_keys': ['key-2']},
+    ],
 }
 
 
-class LedgerServer(AppServer):
-    """Work longer on summaries than on lookups."""
+def make_next(version, service, keys):
+    """Return a version whose route goes to a service, with some keys."""
+    configuration = deepcopy(CONFIGURATION)
+    configuration['version'] = version
+    configuration['routes'][0]['service'] = service
+    configuration['tenants'] = [
+        tenant
+        for tenant in configuration['tenants']
+        if tenant['api_keys'][0] in keys
+    ]
+    return configuration
+
 
-    async def respond(self, writer, method, target, headers, body):
-        """Run one request."""
-        if target.endswith('/summary'):
-            await asyncio.sleep(LONG_SECONDS)
-        return await super().respond(writer, method, target, headers, body)
+def list_watchers(store):
+    """Return the hosts that watch the configuration."""
+    now = time.monotonic()
+    return {
+        host
+        for (host, kind), began in store.watches.items()
+        if kind == 'config' and now - began < WATCH_SECONDS
+    }
 
 
-async def ask_twice(deployment, port):
-    """Send two requests at once; return how each ended."""
-    reader, writer = await asyncio.open_connection('127.0.0.1', port)
-    attempt_ids = [secrets.token_hex(8), secrets.token_hex(8)]
-    targets = ('/look/1/summary', '/look/1')
-    for attempt_id, target in zip(attempt_ids, targets, strict=True):
-        headers = {
-            'X-Monsoonwall-Attempt-Id': attempt_id,
-            'X-Monsoonwall-Deadline-Ms': '15000',
-            'Api-Key': 'key-1',
-        }
-        writer.write(make_request('GET', target, headers))
-    await writer.drain()
-    sent_at = time.monotonic()
-    endings = []
-    for attempt_id in attempt_ids:
-        try:
-            status, headers, _ = await read_response(reader)
-            connection = headers.get('connection', 'keep-alive')
-            endings.append(f'{status}, {connection}')
-        except (OSError, asyncio.IncompleteReadError) as error:
-            endings.append(f'no answer: {type(error).__name__}')
-        deployment.record(
-            f'{attempt_id}: {endings[-1]}, '
-            f'{time.monotonic() - sent_at:.2f} s after it was sent'
-        )
-    writer.close()
-    return endings
+def release(deployment):
+    """Order a roll-out: a version, its first server and a configuration."""
+    store = deployment.store
+    server = deployment.servers[-1]
+    store.put('config', 'main', make_next(2, 'ledger', {'key-1', 'key-2'}))
+    store.put('servers', server.name, server.describe() | {'version': 'v2'})
+    order = {'service': 'catalogue', 'target': 'v2', 'duration_s': 30}
+    store.put('rollouts', 'catalogue', order)
+
+
+async def wait_watching(store, hosts):
+    """Wait until the hosts watch again what has changed."""
+    for _ in range(1000):
+        if all(
+            store.watches.get((host, kind), 0) > store.changes[kind]
+            for host in hosts
+            for kind in KINDS
+        ):
+            return
+        await asyncio.sleep(0.005)
+    raise TimeoutError('the hosts do not watch')
+
+
+async def reserve(gateway, key, results):
+    """Send one reservation; store when it was sent and its status."""
+    headers = make_caller_headers(key)
+    attempt_id = headers['X-Monsoonwall-Attempt-Id']
+    sent = time.time()
+    status = 0
+    with suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+        async with asyncio.timeout(2):
+            answer = await fetch(
+                gateway.ports['front'], 'POST', '/reserve/1', headers, b'x'
+            )
+            status = answer[0]
+    results[attempt_id] = sent, status, key, gateway.name
 
 
 async def play(deployment):
-    """Return whether all requests were answered."""
-    server = LedgerServer('ledger', 'i-0', 'zone-a')
-    await deployment.start(2, [server], CONFIGURATION)
-    await asyncio.sleep(5)
-    gateway = deployment.gateways[0]
-    asking = [
-        asyncio.ensure_future(ask_twice(deployment, gateway.ports['front']))
-        for _ in range(CHANNELS)
-    ]
+    """Return whether the change is in force everywhere in time."""
+    old = AppServer('ledger', 'i-0', 'zone-a')
+    new = AppServer('archive', 'i-1', 'zone-a')
+    first = AppServer('catalogue', 'i-2', 'zone-a')
+    second = AppServer('catalogue', 'i-3', 'zone-a')
+    store = deployment.store
+    await deployment.start(
+        HOSTS, [old, new, first, second], CONFIGURATION, ('zone-a',)
+    )
+    store.delete('servers', second.name)
+    await asyncio.sleep(12)
+    watchers = list_watchers(store)
+    deployment.record(f'watching hosts: {sorted(watchers)}')
+    release(deployment)
+    deployment.record('version 2 and a roll-out are ordered')
+
     await asyncio.sleep(0.3)
+    await wait_watching(store, watchers)
     if deployment.trouble:
-        gateway.send_signal(signal.SIGTERM)
-        deployment.record('SIGTERM')
-    endings = [
-        ending for pair in await asyncio.gather(*asking) for ending in pair
+        store.turn_away(watchers)
+        deployment.record('the store turns the watching hosts away')
+    await asyncio.sleep(0.05)
+    store.put('config', 'main', make_next(3, 'archive', {'key-1'}))
+    acknowledged = time.time()
+    deployment.record('version 3 is acknowledged')
+    others = [
+        gateway
+        for gateway in deployment.gateways
+        if gateway.name not in watchers
     ]
-    lost = sum(ending.startswith('no answer') for ending in endings)
-    deployment.record(f'{lost} of {len(endings)} requests got no answer')
-    deployment.record('rule LOST was broken' if lost else 'rule held')
-    return not lost
+    results = {}
+    calls = []
+    for number in range(250):
+        gateway = others[number % len(others)]
+        key = f'key-{1 + number // len(others) % 2}'
+        calls.append(asyncio.ensure_future(reserve(gateway, key, results)))
+        await asyncio.sleep(0.02)
+    await asyncio.gather(*calls)
+    await asyncio.sleep(
+        max(0, TURNED_AWAY_SECONDS - (time.time() - acknowledged))
+    )
+    store.hear_all()
+    ran_old = {attempt_id for attempt_id, _ in old.runs}
+    late = []
+    for attempt_id, (sent, status, key, name) in results.items():
+        age = sent - acknowledged
+        stale = attempt_id in ran_old
+        if stale and age > CONFIG_SECONDS:
+            late.append(age)
+            deployment.record(
+                f'sent {age:.3f} s after the acknowledgement to {name} with '
+                f'{key}: {status}, run by the service of version 2'
+            )
+    last = max(
+        (results[attempt_id][0] - acknowledged for attempt_id in ran_old),
+        default=0,
+    )
+    deployment.record(f'last one run by the old service: {last:.3f} s after')
+    deployment.record(f'{len(late)} of {len(results)} requests ran too late')
+    deployment.record('rule CONFIG was broken' if late else 'rule held')
+    return not late
 
 
 if __name__ == '__main__':
