Do not report windows that no known host observed

All hosts had been killed while the store returned from an older copy, so the store, the facts on the mesh and the counts of all hosts were gone. The next lease holder froze the last settled window with empty counts, although no process of the fleet had been there.

Cause: UsageReporter._freeze took "nothing is known" for "nothing was used". Ruled out: the lease (the fencing numbers rise, one holder at a time) and the report call (an exact repeat is harmless).

Hosts now publish the windows that they have observed, also without requests, and the reporter freezes only observed windows. A host that starts up to two seconds before the end of a window does not count as an observer, as clocks differ. Windows without requests are reported as empty as before.

--- a/src/monsoonwall/gateway/usage.py
+++ b/src/monsoonwall/gateway/usage.py
@@ -1,11 +1,14 @@
 """Count the requests of each workspace and report them by time window.
 
 All hosts exchange their counts. The lease holder sums up each window, writes
-the sums to the store ("freezes" them) and reports them to the platform.
+the sums to the store ("freezes" them) and reports them to the platform. Only
+windows are frozen that some known host has observed: when all hosts have been
+killed and the store has returned from an older copy, a window may have been
+reported although nothing of it is known.
 """
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 from msgspec import DecodeError, Struct, ValidationError, json, msgpack
@@ -23,6 +26,7 @@
 from monsoonwall.gateway.settings import Bounds
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board, is_zone_summary
+from monsoonwall.metrics import GATEWAY_UNKNOWN_WINDOWS
 from monsoonwall.platform.objects import (
     CallReason,
     ObjectStore,
@@ -42,6 +46,9 @@
 # In a large fleet, counts pass relays and take longer. This fraction of the
 # time limit for a report is allowed for that; the rest is for the calls.
 _RELAYED_SETTLE_RATIO: Final = 0.45
+# Clocks of hosts may differ by this much. A host that starts after a window has
+# been reported must not take itself for one that was there.
+_CLOCK_ERROR_SECONDS: Final = 2.0
 
 _log = make_logger('usage')
 
@@ -50,6 +57,8 @@
     # Distinguishes incarnations of a host, whose counts are added up.
     started_wall: float
     windows: dict[int, Counts]
+    # Whether the host was there before the windows ended.
+    observed: bool = True
 
 
 class UsageCounter:
@@ -70,17 +79,17 @@
         self._relayed = False
         self._steady_clock = SteadyWallClock(clock)
         self._own_counts = _PublishedCounts(self._steady_clock.read(), {})
+        self._first_observed = self._find_window(_CLOCK_ERROR_SECONDS)
         self._published: dict[str, bytes] = {}
         self._counts_by_origin: dict[tuple[str, float], dict[int, Counts]] = {}
         # The payloads last read, by origin and key.
         self._payloads: dict[tuple[str, str], bytes] = {}
+        self._observed: set[int] = set()
         board.declare_merge(USAGE_KIND, merge_usage)
 
     def count(self, workspace: str) -> None:
         """Count a request that begins now at a server."""
-        window = self._own_counts.windows.setdefault(
-            int(self._steady_clock.read() // self._window_seconds), {}
-        )
+        window = self._own_counts.windows.setdefault(self._find_window(), {})
         window[workspace] = window.get(workspace, 0) + 1
 
     @property
@@ -90,12 +99,14 @@
 
     def exchange(self) -> None:
         """Publish this host's counts and read those of the other hosts."""
-        current = int(self._steady_clock.read() // self._window_seconds)
-        self._own_counts.windows = {
-            number: counts
-            for number, counts in self._own_counts.windows.items()
-            if number > current - _PUBLISHED_WINDOWS
-        }
+        current = self._find_window()
+        oldest = current - _PUBLISHED_WINDOWS + 1
+        # Windows without requests are published as well, as observed ones.
+        for observed in range(max(oldest, self._first_observed), current + 1):
+            self._own_counts.windows.setdefault(observed, {})
+        self._own_counts.windows = _drop_before(
+            self._own_counts.windows, oldest
+        )
         for number, counts in self._own_counts.windows.items():
             self._publish(number, counts)
         entries = self._board.read_entries(USAGE_KIND)
@@ -123,20 +134,32 @@
             number in windows for windows in self._counts_by_origin.values()
         )
 
+    def is_observed(self, number: int) -> bool:
+        """Return whether a known host was there before a window ended."""
+        return number in self._observed
+
     def find_settled_window(self) -> int:
         """Return the last window whose counts from all hosts have arrived."""
         seconds = (
             self._relayed_settle_seconds if self._relayed else _SETTLE_SECONDS
         )
-        settled_until = self._steady_clock.read() - seconds
-        return int(settled_until // self._window_seconds) - 1
+        return self._find_window(-seconds) - 1
+
+    def _find_window(self, offset_seconds: float = 0) -> int:
+        """Return the window that contains the time at an offset from now."""
+        wall = self._steady_clock.read() + offset_seconds
+        return int(wall // self._window_seconds)
 
     def _publish(self, number: int, counts: Counts) -> None:
         # A window that is over does not change and is published only once. Its
         # key is reused for a later window.
         key = str(number % _PUBLISHED_WINDOWS)
         payload = msgpack.encode(
-            _PublishedCounts(self._own_counts.started_wall, {number: counts})
+            _PublishedCounts(
+                self._own_counts.started_wall,
+                {number: counts},
+                number >= self._first_observed,
+            )
         )
         if payload != self._published.get(key):
             self._published[key] = payload
@@ -149,6 +172,8 @@
         known = self._counts_by_origin.setdefault(
             (origin, decoded.started_wall), {}
         )
+        if decoded.observed:
+            self._observed.update(decoded.windows)
         for number, counts in decoded.windows.items():
             window = known.setdefault(number, {})
             for workspace, count in counts.items():
@@ -160,18 +185,24 @@
             for incarnation, windows in self._counts_by_origin.items()
             if (kept := _drop_before(windows, oldest))
         }
+        self._observed = {
+            number for number in self._observed if number >= oldest
+        }
 
 
 def merge_usage(payloads: Sequence[bytes]) -> bytes:
     """Return the sum of several hosts' encoded counts of the latest window."""
-    decoded = [_decode_counts(payload).windows for payload in payloads]
+    decoded = [_decode_counts(payload) for payload in payloads]
     latest = max(
-        (number for windows in decoded for number in windows), default=0
+        (number for one in decoded for number in one.windows),
+        default=0,
     )
+    of_latest = [one for one in decoded if latest in one.windows]
     summed: Counter[str] = Counter()
-    for windows in decoded:
-        summed.update(windows.get(latest, {}))
-    return msgpack.encode(_PublishedCounts(0, {latest: dict(summed)}))
+    for published in of_latest:
+        summed.update(published.windows[latest])
+    observed = any(one.observed for one in of_latest)
+    return msgpack.encode(_PublishedCounts(0, {latest: dict(summed)}, observed))
 
 
 def _decode_counts(payload: bytes) -> _PublishedCounts:
@@ -205,6 +236,7 @@
         self._version: int | None = None
         self._frozen: dict[int, Counts] = {}
         self._reported: set[int] = set()
+        self._last_unknown: int | None = None
 
     def reset(self) -> None:
         """Read the store again before the next report."""
@@ -217,9 +249,10 @@
             return
         if self._version is None and not await self._read():
             return
-        if due not in self._frozen and not await self._freeze(due):
-            return
         first = due - self._reportable_windows + 1
+        unfrozen = self._list_unfrozen(range(first, due + 1))
+        if unfrozen and not await self._freeze(unfrozen):
+            return
         for number in range(first, due + 1):
             if number in self._frozen and number not in self._reported:
                 await self._report(holder, number)
@@ -250,13 +283,26 @@
         """Adopt the counts of the store and those that it may have lost."""
         self._frozen = {**stored, **self._counter.frozen.read(), **self._frozen}
 
-    async def _freeze(self, due: int) -> bool:
-        frozen = dict(self._frozen)
-        for number in range(due - self._reportable_windows + 1, due + 1):
-            counts = self._counter.sum_window(number)
-            if counts:
-                frozen.setdefault(number, counts)
-        frozen.setdefault(due, {})
+    def _list_unfrozen(self, due: Iterable[int]) -> tuple[int, ...]:
+        """Return the due windows to freeze; log those that are unknown."""
+        unfrozen = [number for number in due if number not in self._frozen]
+        known = tuple(filter(self._counter.is_observed, unfrozen))
+        unknown = max(set(unfrozen).difference(known), default=None)
+        if unknown not in {None, self._last_unknown}:
+            self._last_unknown = unknown
+            GATEWAY_UNKNOWN_WINDOWS.inc()
+            _log.warning(
+                'Usage unknown: no host has observed the window.',
+                window=unknown,
+            )
+        return known
+
+    async def _freeze(self, unfrozen: Sequence[int]) -> bool:
+        """Write the counts of windows to the store."""
+        frozen = self._frozen | {
+            number: self._counter.sum_window(number) for number in unfrozen
+        }
+        due = max(unfrozen)
         recent = _drop_before(frozen, due - _STORED_WINDOWS)
         content = json.encode(recent)
         written = await (
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -201,6 +201,10 @@
     'monsoonwall_gateway_hosts_heard',
     'Other hosts whose grants are known, with those of summed-up zones.',
 )
+GATEWAY_UNKNOWN_WINDOWS = Counter(
+    'monsoonwall_gateway_unknown_usage_windows_total',
+    'Windows whose usage is not reported, because no known host observed them.',
+)
 GATEWAY_DUTY_CALLS = Counter(
     'monsoonwall_gateway_duty_calls_total',
     'Calls of duties to the platform, by duty and how they ended.',
