Report usage only once another host has its counts

A lease holder wrote the counts of a window to the store, scheduled a push to the other hosts and reported at once.

Ruled out: that the write to the store suffices (a returning store loses it).

The reporter now publishes the counts with Board.replicate_fact and reports once a peer has acknowledged them, which takes one round trip and no further message. Without an acknowledgement it tries again in the next step, until the membership has dropped the silent peers; a host without peers reports at once. The pushes of the mesh move into a class of their own for this.

--- a/src/monsoonwall/entry/mesh_node.py
+++ b/src/monsoonwall/entry/mesh_node.py
@@ -64,7 +64,12 @@
     def publish_fact(self, fact: Fact) -> None:
         """Publish a fact to every host."""
         if self._gossip.store.merge_fact(fact, self._clock.read_wall()):
-            self._gossip.schedule_push(fact)
+            self._gossip.pushes.schedule(fact)
+
+    async def replicate_fact(self, fact: Fact, deadline: float) -> bool:
+        """Publish a fact; return whether it outlives this host."""
+        self._gossip.store.merge_fact(fact, self._clock.read_wall())
+        return await self._gossip.pushes.replicate(fact, deadline)
 
     def read_entries(self, kind: str) -> tuple[Entry, ...]:
         """Return every live host's entries of a kind, own ones included."""
--- a/src/monsoonwall/gateway/frozen_counts.py
+++ b/src/monsoonwall/gateway/frozen_counts.py
@@ -5,7 +5,6 @@
 without them; the other hosts still know them then.
 """
 
-from collections.abc import Mapping
 from typing import Final
 
 from msgspec import DecodeError, ValidationError, json
@@ -17,6 +16,8 @@
 _KIND: Final = 'usage-frozen'
 # Longer than a window may be reported after its end.
 _FACT_TTL_SECONDS: Final = 120.0
+# A share of the time between two steps of the duties, which it delays.
+_ACKNOWLEDGEMENT_SECONDS: Final = 0.25
 
 _log = make_logger('usage')
 
@@ -30,14 +31,20 @@
         self._board = board
         self._clock = clock
 
-    def publish(self, windows: Mapping[int, Counts]) -> None:
-        """Publish the counts of windows that this host has frozen."""
-        expires_wall = self._clock.read_wall() + _FACT_TTL_SECONDS
-        for number, counts in windows.items():
-            payload = json.encode(counts, order='sorted')
-            self._board.publish_fact(
-                Fact(_KIND, str(number), payload, expires_wall)
-            )
+    async def replicate(self, number: int, counts: Counts) -> bool:
+        """Publish the counts of a window; return whether another host has them.
+
+        Both this host and what the store has confirmed may be lost.
+        """
+        fact = Fact(
+            _KIND,
+            str(number),
+            json.encode(counts, order='sorted'),
+            self._clock.read_wall() + _FACT_TTL_SECONDS,
+        )
+        return await self._board.replicate_fact(
+            fact, self._clock.read_monotonic() + _ACKNOWLEDGEMENT_SECONDS
+        )
 
     def read(self) -> dict[int, Counts]:
         """Return the counts of each window that some host has frozen."""
--- a/src/monsoonwall/gateway/usage.py
+++ b/src/monsoonwall/gateway/usage.py
@@ -218,7 +218,7 @@
 
     Frozen counts are written to the store only if its version has not changed
     since it was read, so that all lease holders report the same counts. Other
-    hosts receive them as well, since the store may lose them.
+    hosts receive them before they are reported, since the store may lose them.
     """
 
     def __init__(
@@ -236,11 +236,13 @@
         self._version: int | None = None
         self._frozen: dict[int, Counts] = {}
         self._reported: set[int] = set()
+        self._replicated: set[int] = set()
         self._last_unknown: int | None = None
 
     def reset(self) -> None:
         """Read the store again before the next report."""
         self._version = None
+        self._replicated.clear()
 
     async def step(self, holder: LeaseHolder) -> None:
         """Report the due windows; the next step retries failed reports."""
@@ -261,7 +263,13 @@
         }
 
     async def _report(self, holder: LeaseHolder, number: int) -> None:
-        report = UsageReport(number, self._frozen[number])
+        counts = self._frozen[number]
+        if number not in self._replicated:
+            if not await self._counter.frozen.replicate(number, counts):
+                _log.warning('Usage not replicated yet.', window=number)
+                return
+            self._replicated.add(number)
+        report = UsageReport(number, counts)
         ending = await self._calls.report_usage(holder, report)
         if ending is DutyEnding.done:
             self._reported.add(number)
@@ -317,13 +325,6 @@
             self._version = None
             return False
         self._version = written.unwrap().version
-        self._counter.frozen.publish(
-            {
-                window: frozen_counts
-                for window, frozen_counts in recent.items()
-                if window not in self._frozen
-            }
-        )
         self._frozen = recent
         _log.info(
             'Usage frozen.',
--- a/src/monsoonwall/mesh/board.py
+++ b/src/monsoonwall/mesh/board.py
@@ -60,6 +60,14 @@
     def publish_fact(self, fact: Fact) -> None:
         """Publish a fact to every host."""
 
+    @abstractmethod
+    async def replicate_fact(self, fact: Fact, deadline: float) -> bool:
+        """Publish a fact; return whether it outlives this host.
+
+        That is so once another host has acknowledged it, or if no other host
+        is known. The deadline is in monotonic seconds.
+        """
+
     @abstractmethod
     def read_entries(self, kind: str) -> tuple[Entry, ...]:
         """Return every live host's entries of a kind, own ones included."""
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -23,6 +23,7 @@
         self.entries = {} if shared is None else shared
         self.facts = {}
         self.queues = {}
+        self.acknowledges = True
 
     def publish_entry(self, kind, key, payload):
         self.entries[kind, self.name, key] = Entry(
@@ -32,6 +33,10 @@
     def publish_fact(self, fact):
         self.facts[fact.kind, fact.key] = fact
 
+    async def replicate_fact(self, fact, deadline):
+        self.publish_fact(fact)
+        return self.acknowledges
+
     def read_entries(self, kind):
         return tuple(
             entry
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -31,11 +31,13 @@
         self.duties = RecordingDuties()
         self.shared = {}
         self.shared_facts = {}
+        self.boards = {}
         self.counters = {name: self.make_counter(name) for name in 'ab'}
 
     def make_counter(self, name):
         board = FakeBoard(name, self.shared)
         board.facts = self.shared_facts
+        self.boards[name] = board
         return UsageCounter(board, self.clock, name, BOUNDS)
 
     def make_reporter(self, name):
@@ -206,6 +208,18 @@
         self.exchange()
         self.assertTrue(self.counters['c'].is_observed(WINDOW + 1))
 
+    async def test_report_waits_until_another_host_has_its_counts(self):
+        """A holder was killed before any host had the counts it reported."""
+        self.count('a', 'depot', 3)
+        self.end_window()
+        reporter = self.make_reporter('a')
+        self.boards['a'].acknowledges = False
+        await reporter.step(LeaseHolder('a', 1))
+        self.assertEqual(self.list_reports(), [])
+        self.boards['a'].acknowledges = True
+        await reporter.step(LeaseHolder('a', 1))
+        self.assertEqual(self.list_reports(), [(WINDOW, {'depot': 3})])
+
     async def test_window_is_reported_after_a_lost_write(self):
         self.count('a', 'depot', 3)
         self.end_window()
--- a/tests/mesh/local_board.py
+++ b/tests/mesh/local_board.py
@@ -27,6 +27,11 @@
             self._facts[fact.kind, fact.key] = fact
             self._announce(fact)
 
+    async def replicate_fact(self, fact: Fact, deadline: float) -> bool:
+        """Store the fact; there is no other host to lose it to."""
+        self.publish_fact(fact)
+        return True
+
     def read_entries(self, kind: str) -> tuple[Entry, ...]:
         """Return this host's entries of a kind."""
         return tuple(
--- a/tests/pipeline/test_part_screening.py
+++ b/tests/pipeline/test_part_screening.py
@@ -48,6 +48,10 @@
             self._facts[key] = fact
             self._simulation.spread(self, fact)
 
+    async def replicate_fact(self, fact, deadline):
+        """Fail, since screening does not replicate facts."""
+        raise NotImplementedError
+
     def deliver(self, fact):
         for queue in self._queues.get(fact.kind, ()):
             queue.put_nowait(fact)
