Let the hosts of a zone watch the store in turns

The store had fallen silent to the three hosts of nine that watched it.

Cause: other hosts were elected only once a watch had timed out, 1.5 to 2 s after it began and 0.7 s more. Ruled out: the mesh (all hosts adopt the change within 0.5 s of the first one) and lost watches on the other hosts (they had none).

Each host now computes its turn from the names of the hosts of its zone and the wall clock (decisions/watch_turns.py). A watch lasts 1.75 s and another host begins one every 0.58 s, so three are open at any time, as before, and a host that the store ignores is followed by another one without any failure detector. A host that fails goes on trying; all hosts watch while two others fail. The detector of outages counts from the first failed call, which hosts publish with their failure, as responses are now seconds apart.

--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -13,7 +13,7 @@
 from monsoonwall.gateway.readiness import ReadyServer
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_gossip import RecordGossip
-from monsoonwall.gateway.record_watchers import WatcherElection, make_watchers
+from monsoonwall.gateway.record_watchers import WatchSchedule, make_watchers
 from monsoonwall.gateway.records import RecordKind
 from monsoonwall.gateway.serving import ServingStack
 from monsoonwall.gateway.settings import GatewaySettings
@@ -70,9 +70,10 @@
             self._record_cache,
             clock,
             self._random,
-            WatcherElection(
+            WatchSchedule(
                 self._mesh.board,
                 self._mesh.peers,
+                clock,
                 settings.host_name,
                 settings.zone,
             ),
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -1,7 +1,7 @@
 """Keep the record cache up to date from the platform's metadata store.
 
-A few hosts of each zone watch the store; the others receive its changes over
-the mesh (see ``record_gossip``).
+The hosts of a zone watch the store in turns; the others receive its changes
+over the mesh meanwhile (see ``record_gossip``).
 """
 
 import asyncio
@@ -11,9 +11,9 @@
 
 from returns.pipeline import is_successful
 
-from monsoonwall.clocks import Clock
+from monsoonwall.clocks import Clock, SteadyWallClock
 from monsoonwall.decisions.budget import Backoff
-from monsoonwall.decisions.hashing import hash_text
+from monsoonwall.decisions.watch_turns import Turn, find_turn
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.records import RecordKind, RecordSource
 from monsoonwall.logs import make_logger
@@ -22,20 +22,15 @@
 from monsoonwall.metrics import GATEWAY_STORE_LAST_RESPONSE
 from monsoonwall.platform.objects import StoreFailure
 
-# A watch that the store has lost looks like one without news until it times
-# out. With the timeout of the call, this stays below the required contact time
-# (3 s). The jitter makes the hosts' watches end at different times.
-_MIN_WATCH_SECONDS: Final = 1.5
-_MAX_WATCH_SECONDS: Final = 2.0
+# Length of a turn, and of a watch without changes. A watch that the store has
+# lost looks like one without news until it times out; with the timeout of the
+# call, this stays below the required contact time (3 s).
+_TURN_SECONDS: Final = 1.75
 # Kept short, because hosts must reach a recovered store within the required
 # contact time.
 _MIN_BACKOFF_SECONDS: Final = 0.2
 _MAX_BACKOFF_SECONDS: Final = 0.8
 
-# Number of hosts of each zone that watch the store. The store may stop
-# responding to some hosts and go on serving the others, which must then still
-# receive changes.
-WATCHERS_PER_ZONE: Final = 3
 # The store is considered unavailable to all if this many other hosts do not
 # reach it either. A host that fails alone, such as one that was slow, may read
 # a removal long after it was confirmed.
@@ -46,81 +41,118 @@
 # For this long after an outage, removals may be those of expired entries.
 # Ends before the store counts as stable again and its removals are binding.
 _RECOVERY_SECONDS: Final = 1.5
-# Watches of evacuations last longer by this factor: operators allow more time
+# Turns for evacuations last longer by this factor: operators allow more time
 # for them than for configurations, and each watch is a call.
-_EVACUATION_WATCH_FACTOR: Final = 1.75
+_EVACUATION_TURN_FACTOR: Final = 1.75
 _REACHABILITY_KIND: Final = 'store-reach'
 _REACHABLE: Final = b'+'
 _UNREACHABLE: Final = b'-'
-# A change must take effect within two seconds, also if all watching hosts of
-# the zone were lost just before it.
+# Time after which a host looks again whether to watch.
 _STANDBY_SECONDS: Final = 0.25
+_MIN_PAUSE_SECONDS: Final = 0.01
 # Delay between watch calls, so that one call returns several changes. Counts
 # towards the time within which a change must take effect.
 _BATCH_SECONDS: Final = 0.3
 _MILLISECONDS_PER_SECOND: Final = 1000
+_MAX_AGE_DIGITS: Final = 6
 
 _log = make_logger('store')
 
 
-def is_chosen_watcher(own_name: str, zone_hosts: Iterable[str]) -> bool:
-    """Return whether a host is among the watchers of its zone's live hosts."""
-    ranked = sorted(zone_hosts, key=hash_text)
-    return own_name in ranked[:WATCHERS_PER_ZONE]
+class WatchSchedule:
+    """Tell when this host watches the store, and who cannot reach it.
 
-
-class WatcherElection:
-    """Choose which hosts of a zone watch the store.
-
-    All hosts compute the same choice from the mesh. The store may refuse single
-    hosts; these publish that they cannot reach it, and others are chosen.
-    Others also replace hosts that fall silent, before these are known to be
-    gone.
+    The hosts of a zone watch in turns. A host to which the store does not
+    respond goes on trying out of turn, and so do all hosts while the store
+    seems to be unavailable to all.
     """
 
     def __init__(
-        self, board: Board, peers: Peers, own_name: str, zone: str
+        self, board: Board, peers: Peers, clock: Clock, own_name: str, zone: str
     ) -> None:
         self._board = board
         self._peers = peers
+        self._clock = clock
+        self._steady_clock = SteadyWallClock(clock)
         self._own_name = own_name
         self._zone = zone
         self._published = _REACHABLE
+        # Since when each unreachable host has failed (monotonic seconds).
+        self._failing_since: dict[str, float] = {}
 
-    def is_elected(self) -> bool:
-        """Return whether this host should watch the store."""
-        excluded = self.list_unreachable_hosts() | self._peers.list_silent()
-        zone_peers = [
+    def find_turn(self, turn_seconds: float) -> Turn:
+        """Return this host's current or next turn, in monotonic seconds."""
+        hosts = [
             peer.name
             for peer in self._peers.list_peers()
             if peer.zone == self._zone and not peer.leaving
         ]
-        reachable = [name for name in zone_peers if name not in excluded]
-        return is_chosen_watcher(self._own_name, (*reachable, self._own_name))
+        wall = self._steady_clock.read()
+        turn = find_turn(
+            self._own_name, (*hosts, self._own_name), wall, turn_seconds
+        )
+        offset = self._clock.read_monotonic() - wall
+        return Turn(turn.begins_at + offset, turn.ends_at + offset)
 
-    def publish_reachability(self, reachable: bool) -> None:
-        """Publish whether this host reaches the store, if that has changed."""
-        payload = _REACHABLE if reachable else _UNREACHABLE
-        if payload != self._published:
-            self._published = payload
-            self._board.publish_entry(_REACHABILITY_KIND, '', payload)
+    def publish_reachable(self) -> None:
+        """Publish that this host reaches the store, if that has changed."""
+        self._publish(_REACHABLE)
+
+    def publish_unreachable(self, failing_since: float) -> None:
+        """Publish that this host fails to reach the store, if it has changed.
+
+        ``failing_since`` is in monotonic seconds.
+        """
+        if not self._published.startswith(_UNREACHABLE):
+            age = self._clock.read_monotonic() - failing_since
+            age_ms = int(_MILLISECONDS_PER_SECOND * age)
+            self._publish(b'%b%d' % (_UNREACHABLE, age_ms))
 
     def is_store_unavailable(self) -> bool:
         """Return whether the store seems to be unavailable to all hosts.
 
         Call it when this host does not reach the store.
         """
-        peers = {peer.name for peer in self._peers.list_peers()}
-        others = self.list_unreachable_hosts() & peers
-        return len(others) >= min(_OTHER_UNREACHABLE_HOSTS, len(peers))
+        peers = len(self._peers.list_peers())
+        return self._count_unreachable_peers() >= min(
+            _OTHER_UNREACHABLE_HOSTS, peers
+        )
+
+    def is_outage_reported(self) -> bool:
+        """Return whether the store may be unavailable to this host as well."""
+        return self._count_unreachable_peers() >= _OTHER_UNREACHABLE_HOSTS
+
+    def find_outage_start(self, failing_since: float) -> float:
+        """Return since when this host, or another one, has failed."""
+        self.list_unreachable_hosts()
+        return min(failing_since, *self._failing_since.values())
 
     def list_unreachable_hosts(self) -> frozenset[str]:
         """Return the hosts that reported the store as unreachable."""
-        return frozenset(
-            entry.origin
+        now = self._clock.read_monotonic()
+        self._failing_since = {
+            entry.origin: self._failing_since.get(
+                entry.origin, now - _read_age(entry.payload)
+            )
             for entry in self._board.read_entries(_REACHABILITY_KIND)
-            if entry.payload == _UNREACHABLE
-        )
+            if entry.payload.startswith(_UNREACHABLE)
+        }
+        return frozenset(self._failing_since)
+
+    def _count_unreachable_peers(self) -> int:
+        peers = {peer.name for peer in self._peers.list_peers()}
+        return len(self.list_unreachable_hosts() & peers)
+
+    def _publish(self, payload: bytes) -> None:
+        if payload != self._published:
+            self._published = payload
+            self._board.publish_entry(_REACHABILITY_KIND, '', payload)
+
+
+def _read_age(payload: bytes) -> float:
+    """Return for how many seconds a host had failed when it published that."""
+    digits = payload.removeprefix(_UNREACHABLE)[:_MAX_AGE_DIGITS]
+    return int(digits) / _MILLISECONDS_PER_SECOND if digits.isdigit() else 0
 
 
 class OutageDetector:
@@ -128,8 +160,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._responded_at = float('-inf')
-        self._suspected = False
+        # Since when the store seems to be unavailable to all hosts.
+        self._began_at: float | None = None
         self._recovery_ends_at = float('-inf')
         self._era: int | None = None
 
@@ -138,29 +170,27 @@
         """Return whether an outage has ended just before."""
         return self._clock.read_monotonic() < self._recovery_ends_at
 
-    def suspect(self) -> None:
+    def suspect(self, began_at: float) -> None:
         """Record that the store seems to be unavailable to all hosts."""
-        self._suspected = True
+        if self._began_at is None:
+            self._began_at = began_at
+        self._began_at = min(self._began_at, began_at)
 
     def record_response(self, era: int) -> None:
         """Record a response of the store in an era."""
         now = self._clock.read_monotonic()
-        gap_seconds = now - self._responded_at
         restored = self._era not in {None, era}
         if restored:
             _log.warning('Store returned from an older copy.', era=era)
-        if restored or (self._suspected and gap_seconds > _MIN_OUTAGE_SECONDS):
+        elapsed = 0 if self._began_at is None else now - self._began_at
+        if restored or elapsed > _MIN_OUTAGE_SECONDS:
             self._recovery_ends_at = now + _RECOVERY_SECONDS
-        self._suspected = False
-        self._responded_at = now
+        self._began_at = None
         self._era = era
 
 
 class RecordWatcher:
-    """List and then watch one kind of record.
-
-    On a host that is not elected it only lists the records, once.
-    """
+    """List one kind of record, and then watch it in turns with other hosts."""
 
     def __init__(
         self,
@@ -169,7 +199,7 @@
         record_cache: RecordCache,
         clock: Clock,
         random: Random,
-        election: WatcherElection,
+        schedule: WatchSchedule,
         first_start: bool,
     ) -> None:
         self._kind = kind
@@ -177,39 +207,58 @@
         self._record_cache = record_cache
         self._clock = clock
         self._random = random
-        self._election = election
+        self._schedule = schedule
         self._needs_current = not first_start
         self._backoff = Backoff(_MIN_BACKOFF_SECONDS, _MAX_BACKOFF_SECONDS)
         self._revision: int | None = None
         self._era = 0
         self._outages = OutageDetector(clock)
-        self._reachable = True
-        self._watching = False
+        # Since when the store has not responded to this host.
+        self._failing_since: float | None = None
+        self._out_of_turn = False
+        self._turn_seconds = _TURN_SECONDS
+        if kind is RecordKind.evacuation:
+            self._turn_seconds *= _EVACUATION_TURN_FACTOR
 
     async def run(self) -> None:
         """List and watch until cancelled."""
         while True:
-            elected = self._election.is_elected()
-            self._log_election(elected)
-            if self._revision is None or elected:
-                await self._step()
-            else:
-                await asyncio.sleep(_STANDBY_SECONDS)
-
-    def _log_election(self, elected: bool) -> None:
-        if elected is not self._watching:
-            self._watching = elected
+            now = self._clock.read_monotonic()
+            turn = self._schedule.find_turn(self._turn_seconds)
+            deadline = self._find_deadline(turn, now)
+            if deadline is not None:
+                await self._step(deadline)
+                continue
+            pause = max(_MIN_PAUSE_SECONDS, turn.begins_at - now)
+            await asyncio.sleep(min(_STANDBY_SECONDS, pause))
+
+    def _find_deadline(self, turn: Turn, now: float) -> float | None:
+        """Return until when to watch now, or None if not now."""
+        self._update_out_of_turn()
+        if turn.begins_at <= now:
+            return turn.ends_at
+        if self._out_of_turn or self._revision is None:
+            return now + self._turn_seconds
+        return None
+
+    def _update_out_of_turn(self) -> None:
+        out_of_turn = (
+            self._failing_since is not None
+            or self._schedule.is_outage_reported()
+        )
+        if out_of_turn is not self._out_of_turn:
+            self._out_of_turn = out_of_turn
             _log.info(
-                'Watching the store.'
-                if elected
-                else 'No longer watching the store.',
+                'Watching the store out of turn.'
+                if out_of_turn
+                else 'Watching the store in turn again.',
                 kind=self._kind,
             )
 
-    async def _step(self) -> None:
+    async def _step(self, deadline: float) -> None:
         began = self._clock.read_monotonic()
         failure = await (
-            self._list() if self._revision is None else self._watch()
+            self._list() if self._revision is None else self._watch(deadline)
         )
         if failure is None:
             self._record_success()
@@ -241,13 +290,7 @@
         self._needs_current = True
         return None
 
-    async def _watch(self) -> StoreFailure | None:
-        wait_seconds = self._random.uniform(
-            _MIN_WATCH_SECONDS, _MAX_WATCH_SECONDS
-        )
-        if self._kind is RecordKind.evacuation:
-            wait_seconds *= _EVACUATION_WATCH_FACTOR
-        deadline = self._clock.read_monotonic() + wait_seconds
+    async def _watch(self, deadline: float) -> StoreFailure | None:
         watched = await self._source.watch_records(
             self._kind, self._revision or 0, deadline
         )
@@ -270,27 +313,29 @@
 
     def _record_success(self) -> None:
         self._backoff.reset()
-        self._election.publish_reachability(reachable=True)
+        self._schedule.publish_reachable()
         GATEWAY_STORE_LAST_RESPONSE.labels(self._kind).set(
             self._clock.read_wall()
         )
-        if not self._reachable:
-            self._reachable = True
+        if self._failing_since is not None:
+            self._failing_since = None
             _log.info('Store answers again.', kind=self._kind)
 
     async def _back_off(self, failure: StoreFailure, began: float) -> None:
-        self._election.publish_reachability(reachable=False)
-        if self._election.is_store_unavailable():
-            self._outages.suspect()
         now = self._clock.read_monotonic()
-        if self._reachable:
-            self._reachable = False
+        if self._failing_since is None:
+            self._failing_since = began
             _log.warning(
                 'Store does not answer.',
                 kind=self._kind,
                 reason=failure,
                 waited_ms=round(_MILLISECONDS_PER_SECOND * (now - began)),
             )
+        self._schedule.publish_unreachable(self._failing_since)
+        if self._schedule.is_store_unavailable():
+            self._outages.suspect(
+                self._schedule.find_outage_start(self._failing_since)
+            )
         # Counted from the start of the call: one that timed out has paused
         # long enough.
         until = self._backoff.record_failure(began, self._random.random())
@@ -302,7 +347,7 @@
     record_cache: RecordCache,
     clock: Clock,
     random: Random,
-    election: WatcherElection,
+    schedule: WatchSchedule,
     first_start: bool,
     kinds: Iterable[RecordKind] = RecordKind,
 ) -> tuple[RecordWatcher, ...]:
@@ -314,7 +359,7 @@
             record_cache,
             clock,
             random,
-            election,
+            schedule,
             first_start,
         )
         for kind in kinds
--- a/tests/gateway/test_record_watchers.py
+++ b/tests/gateway/test_record_watchers.py
@@ -9,10 +9,8 @@
 from monsoonwall.clocks import ManualClock, SystemClock
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_watchers import (
-    WATCHERS_PER_ZONE,
     RecordWatcher,
-    WatcherElection,
-    is_chosen_watcher,
+    WatchSchedule,
 )
 from monsoonwall.gateway.records import Listing, RecordKind, RecordSource
 from monsoonwall.mesh.peers import Peer
@@ -26,8 +24,8 @@
 )
 
 HOSTS = tuple(f'edge-{number}' for number in range(1, 8))
-WATCHING_HOST = next(host for host in HOSTS if is_chosen_watcher(host, HOSTS))
-OTHER_HOSTS = tuple(host for host in HOSTS if host != WATCHING_HOST)
+WATCHING_HOST = HOSTS[0]
+OTHER_HOSTS = HOSTS[1:]
 # Servers ping the store this often, and three missed pings expire their entry.
 PING_SECONDS = 1.2
 OUTAGE_SECONDS = 4 * PING_SECONDS
@@ -63,33 +61,15 @@
 
 
 class OtherHosts(NoPeers):
-    """List other hosts of the zone."""
+    """List the hosts of another zone."""
 
     def list_peers(self):
         return tuple(
-            Peer(name, 'a', 'north', '127.0.0.1:1', 1, False)
+            Peer(name, 'b', 'north', '127.0.0.1:1', 1, False)
             for name in OTHER_HOSTS
         )
 
 
-class ZonePeers(NoPeers):
-    """List all other hosts of the zone, some of which have fallen silent."""
-
-    def __init__(self, own_name, silent):
-        self._own_name = own_name
-        self._silent = frozenset(silent)
-
-    def list_peers(self):
-        return tuple(
-            Peer(name, 'a', 'north', '127.0.0.1:1', 1, False)
-            for name in HOSTS
-            if name != self._own_name
-        )
-
-    def list_silent(self):
-        return self._silent
-
-
 class RemovalTest(unittest.IsolatedAsyncioTestCase):
     """Read the removal of a server after a call to the store has failed."""
 
@@ -102,11 +82,12 @@
         entries = {}
         for name in unreachable_hosts:
             board = FakeBoard(name, entries)
-            election = WatcherElection(board, NoPeers(), name, 'a')
-            election.publish_reachability(reachable=False)
-        election = WatcherElection(
+            schedule = WatchSchedule(board, NoPeers(), clock, name, 'a')
+            schedule.publish_unreachable(clock.read_monotonic())
+        schedule = WatchSchedule(
             FakeBoard(WATCHING_HOST, entries),
             OtherHosts(),
+            clock,
             WATCHING_HOST,
             'a',
         )
@@ -126,7 +107,7 @@
             record_cache,
             clock,
             Random(1),
-            election,
+            schedule,
             first_start=False,
         )
         watcher_task = asyncio.create_task(watcher.run())
@@ -156,8 +137,8 @@
 
     async def watch(self, results, first_start=True):
         clock = SystemClock()
-        self.election = WatcherElection(
-            FakeBoard('edge-1'), NoPeers(), 'edge-1', 'a'
+        self.schedule = WatchSchedule(
+            FakeBoard('edge-1'), NoPeers(), clock, 'edge-1', 'a'
         )
         source = ScriptedSource(results)
         watcher = RecordWatcher(
@@ -166,7 +147,7 @@
             RecordCache(PlatformCodec(), clock, 2),
             clock,
             Random(1),
-            self.election,
+            self.schedule,
             first_start,
         )
         watcher_task = asyncio.create_task(watcher.run())
@@ -194,31 +175,4 @@
     async def test_refused_host_reports_the_store_as_unreachable(self):
         refused = Failure(StoreFailure.unavailable)
         await self.watch([refused, refused])
-        self.assertEqual(self.election.list_unreachable_hosts(), {'edge-1'})
-
-    def test_another_host_is_chosen_when_the_watcher_is_gone(self):
-        watchers = {host for host in HOSTS if is_chosen_watcher(host, HOSTS)}
-        self.assertEqual(len(watchers), WATCHERS_PER_ZONE)
-        for gone in watchers:
-            others = [host for host in HOSTS if host != gone]
-            chosen = {
-                host for host in others if is_chosen_watcher(host, others)
-            }
-            self.assertEqual(len(chosen), WATCHERS_PER_ZONE)
-            self.assertLess(watchers - {gone}, chosen)
-
-    def test_silent_watchers_are_replaced_before_they_are_gone(self):
-        """All watchers lost power; the others used old configurations."""
-        watchers = {host for host in HOSTS if is_chosen_watcher(host, HOSTS)}
-        others = [host for host in HOSTS if host not in watchers]
-        for silent in (set(), watchers):
-            with self.subTest(silent=silent):
-                elected = {
-                    host
-                    for host in others
-                    if WatcherElection(
-                        FakeBoard(host, {}), ZonePeers(host, silent), host, 'a'
-                    ).is_elected()
-                }
-                expected = min(len(others), WATCHERS_PER_ZONE) if silent else 0
-                self.assertEqual(len(elected), expected)
+        self.assertEqual(self.schedule.list_unreachable_hosts(), {'edge-1'})
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -7,7 +7,7 @@
 from monsoonwall.clocks import SystemClock
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_gossip import RecordGossip
-from monsoonwall.gateway.record_watchers import WatcherElection, make_watchers
+from monsoonwall.gateway.record_watchers import WatchSchedule, make_watchers
 from monsoonwall.platform.documents import PlatformCodec
 from monsoonwall.platform.store import PlatformStore
 from tests.gateway.fakes import FakeBoard, NoPeers
@@ -56,7 +56,7 @@
             cache,
             clock,
             Random(name),
-            WatcherElection(board, NoPeers(), name, 'zone-a'),
+            WatchSchedule(board, NoPeers(), clock, name, 'zone-a'),
             first_start=False,
         )
         gossip = RecordGossip(board, cache, clock, Random(name))
--- a/tests/gateway/test_silent_store.py
+++ b/tests/gateway/test_silent_store.py
@@ -8,8 +8,7 @@
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_watchers import (
     RecordWatcher,
-    WatcherElection,
-    is_chosen_watcher,
+    WatchSchedule,
 )
 from monsoonwall.gateway.records import RecordKind
 from monsoonwall.mesh.peers import Peer, Peers
@@ -23,23 +22,19 @@
 CONTACT_SECONDS = 3.0
 # Within this time a configuration must be in force on all hosts.
 CONFIGURATION_SECONDS = 2.0
-ZONES = 3
-HOSTS_PER_ZONE = 24
-# Hosts that the store no longer responds to, as a fraction of all.
-SILENT_FRACTION = 0.4
-OUTAGES = 2000
 
 
 class ZonePeers(Peers):
     """List all other hosts of the zone."""
 
-    def __init__(self, own_name):
+    def __init__(self, own_name, hosts):
         self._own_name = own_name
+        self._hosts = hosts
 
     def list_peers(self):
         return tuple(
             Peer(name, 'a', 'north', '127.0.0.1:1', 1, False)
-            for name in HOSTS
+            for name in self._hosts
             if name != self._own_name
         )
 
@@ -69,7 +64,7 @@
     def configure(self, version):
         self.store.put('config', 'main', {'version': version})
 
-    def start_watcher(self, name, address):
+    def start_watcher(self, name, address, hosts=HOSTS):
         clock = SystemClock()
         cache = RecordCache(PlatformCodec(), clock, 2)
         self.caches[name] = cache
@@ -79,9 +74,10 @@
             cache,
             clock,
             Random(name),
-            WatcherElection(
+            WatchSchedule(
                 FakeBoard(name, self.shared_entries),
-                ZonePeers(name),
+                ZonePeers(name, hosts),
+                clock,
                 name,
                 'a',
             ),
@@ -102,8 +98,8 @@
             await asyncio.sleep(0.01)
 
     async def test_watch_lost_in_an_outage_does_not_delay_the_next_change(self):
-        name = next(host for host in HOSTS if is_chosen_watcher(host, HOSTS))
-        self.start_watcher(name, self.addresses[0])
+        name = HOSTS[0]
+        self.start_watcher(name, self.addresses[0], hosts=(name,))
         await self.wait_for_version(1, [name], 1)
         self.configure(version=2)
         await self.wait_for_version(2, [name], 1)
@@ -117,7 +113,7 @@
     async def test_change_is_known_while_the_store_ignores_a_watching_host(
         self,
     ):
-        ignored = next(host for host in HOSTS if is_chosen_watcher(host, HOSTS))
+        ignored = HOSTS[0]
         others = [host for host in HOSTS if host != ignored]
         self.start_watcher(ignored, self.addresses[0])
         for name in others:
@@ -129,29 +125,5 @@
         await self.wait_for_version(2, others, CONFIGURATION_SECONDS)
 
 
-class WatcherChoiceTest(unittest.TestCase):
-    """Choose watchers while the store ignores random hosts of all zones."""
-
-    def test_few_outages_hit_all_watching_hosts_at_once(self):
-        zones = [
-            [f'edge-{zone}-{number}' for number in range(HOSTS_PER_ZONE)]
-            for zone in range(ZONES)
-        ]
-        watchers = {
-            host
-            for hosts in zones
-            for host in hosts
-            if is_chosen_watcher(host, hosts)
-        }
-        all_hosts = [host for hosts in zones for host in hosts]
-        random = Random(1)
-        silent_count = round(SILENT_FRACTION * len(all_hosts))
-        deaf_outages = sum(
-            watchers <= set(random.sample(all_hosts, silent_count))
-            for _ in range(OUTAGES)
-        )
-        self.assertLessEqual(deaf_outages / OUTAGES, 0.001)
-
-
 if __name__ == '__main__':
     unittest.main()
--- a/tests/gateway/virtual_gateways.py
+++ b/tests/gateway/virtual_gateways.py
@@ -12,7 +12,7 @@
 
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_gossip import RecordGossip
-from monsoonwall.gateway.record_watchers import WatcherElection, make_watchers
+from monsoonwall.gateway.record_watchers import WatchSchedule, make_watchers
 from monsoonwall.gateway.records import (
     Listing,
     Record,
@@ -44,6 +44,18 @@
         self.first_revision = 1
         self.era = 0
         self.silenced = set()
+        # When each host last made a call, and the number of all calls.
+        self.called_at = {}
+        self.calls = 0
+
+    def list_latest_readers(self, count):
+        """Return the hosts that have made the latest calls."""
+        return sorted(self.called_at, key=self.called_at.get)[-count:]
+
+    def record_call(self, host):
+        """Count a call of a host."""
+        self.called_at[host] = self._loop.time()
+        self.calls += 1
 
     def restore(self, revision):
         """Return with the content as of a revision, without history."""
@@ -127,6 +139,7 @@
         self._loop = loop
 
     async def list_records(self, kind, current):
+        self._store.record_call(self._host)
         await asyncio.sleep(CALL_SECONDS)
         if self._host in self._store.silenced:
             await asyncio.sleep(CALL_TIMEOUT_SECONDS)
@@ -144,6 +157,7 @@
         )
 
     async def watch_records(self, kind, after, deadline):
+        self._store.record_call(self._host)
         await asyncio.sleep(CALL_SECONDS)
         silenced = self._host in self._store.silenced
         era = self._store.era
@@ -176,15 +190,15 @@
     def _add(self, name, node, clock, drain_seconds):
         cache = RecordCache(PlatformCodec(), clock, drain_seconds)
         random = Random(name)
-        election = WatcherElection(
-            node.board, node.peers, name, name.rpartition('-')[0]
+        schedule = WatchSchedule(
+            node.board, node.peers, clock, name, name.rpartition('-')[0]
         )
         watchers = make_watchers(
             SimulatedSource(self.store, name, clock.loop),
             cache,
             clock,
             random,
-            election,
+            schedule,
             first_start=False,
         )
         gossip = RecordGossip(node.board, cache, clock, random)
