Treat responses with an undefined status as malformed

HTTP defines 100 to 599; nobody can read another status.

Cause: the readers of responses checked only whether a status was below 200. Ruled out: the gateway with 000 and 099, which it took for an interim response and answered with 502.

Channels now end such a response as broken and close the connection, for the calls to the store, the cloud and the engines too, and the client of plain services returns a malformed attempt that may have run.

--- a/src/monsoonwall/backends/http_service.py
+++ b/src/monsoonwall/backends/http_service.py
@@ -15,6 +15,7 @@
     ServiceReply,
 )
 from monsoonwall.transport.clients import CALL_ERRORS
+from monsoonwall.transport.messages import is_defined_status
 
 _CONNECT_TIMEOUT_SECONDS: Final = 1.0
 _BODILESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE'))
@@ -43,6 +44,12 @@
             )
         except CALL_ERRORS as error:
             return Failure(classify_error(error))
+        if not is_defined_status(response.code):
+            return Failure(
+                _make_failure(
+                    AttemptEnding.malformed, True, f'status {response.code}'
+                )
+            )
         if response.code in BUSY_STATUSES:
             # Only with Retry-After does it say that the call was not started.
             may_have_run = 'Retry-After' not in response.headers
--- a/src/monsoonwall/transport/channels.py
+++ b/src/monsoonwall/transport/channels.py
@@ -21,6 +21,7 @@
     OutgoingRequest,
     Reply,
     ResponseEnding,
+    is_defined_status,
     is_framed,
 )
 from monsoonwall.transport.streams import (
@@ -58,7 +59,10 @@
     ) -> None:
         """Queue the head, unless the response is informational (1xx)."""
         status = start_line.code
-        if status >= _FIRST_FINAL_STATUS:
+        if not is_defined_status(status):
+            self.put_ending(ResponseEnding.broken)
+            self._stream.close()
+        elif status >= _FIRST_FINAL_STATUS:
             self._framed = is_framed(headers)
             self.messages.put_nowait(Head(status, headers))
 
--- a/src/monsoonwall/transport/messages.py
+++ b/src/monsoonwall/transport/messages.py
@@ -8,6 +8,8 @@
 from tornado.httputil import HTTPHeaders
 
 _MAX_LENGTH_DIGITS: Final = 15
+_FIRST_STATUS: Final = 100
+_LAST_STATUS: Final = 599
 
 
 @dataclass(frozen=True)
@@ -70,6 +72,11 @@
     return 'Content-Length' in headers or 'Transfer-Encoding' in headers
 
 
+def is_defined_status(status: int) -> bool:
+    """Return whether HTTP defines the class of a status (RFC 9110, 15)."""
+    return _FIRST_STATUS <= status <= _LAST_STATUS
+
+
 def read_content_length(headers: HTTPHeaders) -> int:
     """Return the declared length of a body, or 0."""
     # Python raises an error on parsing a number of thousands of digits.
--- a/tests/transport/test_channels.py
+++ b/tests/transport/test_channels.py
@@ -117,6 +117,18 @@
         channel.close()
         server.close()
 
+    async def test_response_with_an_undefined_status_is_broken(self):
+        """Statuses 600 and 999 were passed on to callers."""
+        for status in ('000', '099', '600', '999'):
+            response = make_response(b'hello').replace(
+                b'200', status.encode(), 1
+            )
+            with self.subTest(status=status):
+                ending, channel = await self.exchange(response)
+                self.assertIs(ending, ResponseEnding.broken)
+                await asyncio.sleep(0.01)
+                self.assertFalse(channel.is_usable)
+
     async def test_unreachable_address_raises_os_error(self):
         with self.assertRaises(OSError):
             await open_channel('127.0.0.1:1', 1)
