Do not take a response without a length for whole while still sending

The own interface took any body without a length for complete, also after a reset.

Cause: the end of the stream counted as the end of the response unless the socket had an error, and Linux reports none for a reset that follows the end. Ruled out: a reset without such an end, which is noticed.

When the stream closes, it is now known whether all that was written has reached the peer's system. If not, its program cannot have read the request, its system resets the connection, and the response is broken. Plain services of the own interface must frame their responses.

test_unframed_response_that_ends_while_sending_is_broken failed before with "unframed", test_response_without_a_length_may_be_a_part with a success.

--- a/src/monsoonwall/backends/http_service.py
+++ b/src/monsoonwall/backends/http_service.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from returns.result import Failure, Result, Success
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
 from monsoonwall.backends.errors import BUSY_STATUSES, classify_error
 from monsoonwall.backends.service import PlainService
@@ -15,10 +15,11 @@
     ServiceReply,
 )
 from monsoonwall.transport.clients import CALL_ERRORS
-from monsoonwall.transport.messages import is_defined_status
+from monsoonwall.transport.messages import is_defined_status, is_framed
 
 _CONNECT_TIMEOUT_SECONDS: Final = 1.0
 _BODILESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE'))
+_BODILESS_STATUSES: Final = frozenset((204, 304))
 
 
 class HttpService(PlainService):
@@ -54,6 +55,12 @@
             # Only with Retry-After does it say that the call was not started.
             may_have_run = 'Retry-After' not in response.headers
             return Failure(_make_failure(AttemptEnding.busy, may_have_run))
+        if not _is_whole(call, response):
+            return Failure(
+                _make_failure(
+                    AttemptEnding.crashed, True, 'the response has no length'
+                )
+            )
         return Success(
             ServiceReply(
                 status=response.code,
@@ -77,6 +84,16 @@
         )
 
 
+def _is_whole(call: Call, response: HTTPResponse) -> bool:
+    """Return whether the body was read to an end that its headers define.
+
+    The client does not tell a body that ends with its connection from one that
+    was reset.
+    """
+    bodiless = call.method == 'HEAD' or response.code in _BODILESS_STATUSES
+    return bodiless or is_framed(response.headers)
+
+
 def _build_headers(call: Call) -> dict[str, str]:
     headers = {
         'Content-Type': 'application/json',
--- a/src/monsoonwall/transport/channels.py
+++ b/src/monsoonwall/transport/channels.py
@@ -93,10 +93,12 @@
         """Queue the ending of a response that was parsed to its end."""
         if self._framed:
             self.put_ending(ResponseEnding.complete)
-        elif self._stream.error is None:
-            self.put_ending(ResponseEnding.unframed)
-        else:
+        elif self._stream.error or self._stream.closed_while_sending:
+            # A connection that is closed with a part of the request unread is
+            # reset. Linux does not report a reset after the end of the stream.
             self.put_ending(ResponseEnding.broken)
+        else:
+            self.put_ending(ResponseEnding.unframed)
 
     def on_connection_close(self) -> None:
         """Queue that the connection closed before the response ended."""
--- a/src/monsoonwall/transport/messages.py
+++ b/src/monsoonwall/transport/messages.py
@@ -50,7 +50,8 @@
     """How the reading of a response ended.
 
     An ``unframed`` response had neither Content-Length nor Transfer-Encoding,
-    and its body ended when the server closed the connection normally.
+    and its body ended when the server closed the connection normally, after
+    its system had received the whole request.
     """
 
     complete = 'complete'
--- a/src/monsoonwall/transport/streams.py
+++ b/src/monsoonwall/transport/streams.py
@@ -2,7 +2,11 @@
 
 import asyncio
 import socket
-from typing import Final
+import sys
+import termios
+from fcntl import ioctl
+from types import TracebackType
+from typing import Any, Final
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -13,16 +17,52 @@
 _KEEPALIVE_INTERVAL_SECONDS: Final = 1
 _KEEPALIVE_PROBES: Final = 2
 _UNACKNOWLEDGED_MILLISECONDS: Final = 2500
+_INTEGER_BYTES: Final = 4
 
 
 class ChannelStream(IOStream):
-    """TCP stream that reports bytes that arrived but were not read."""
+    """TCP stream that reports bytes that were not read, or not received.
+
+    ``closed_while_sending`` tells whether the stream was closed, by either
+    side, before the peer had received all that was written to it.
+    """
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        self.closed_while_sending = False
+        super().__init__(*args, **options)
+
+    def close(
+        self,
+        exc_info: bool
+        | tuple[
+            type[BaseException] | None,
+            BaseException | None,
+            TracebackType | None,
+        ] = False,
+    ) -> None:
+        """Close the stream, at the end of what the peer sends as well."""
+        if not self.closed():
+            self.closed_while_sending = (
+                self.writing() or _count_unacknowledged(self.socket) > 0
+            )
+        super().close(exc_info)
 
     def has_unread(self) -> bool:
         """Return whether the read buffer holds bytes."""
         return self._read_buffer_size > 0
 
 
+def _count_unacknowledged(stream_socket: socket.socket) -> int:
+    """Return how many written bytes the peer's system has not received."""
+    try:
+        unacknowledged = ioctl(
+            stream_socket, termios.TIOCOUTQ, bytes(_INTEGER_BYTES)
+        )
+    except OSError:
+        return 0
+    return int.from_bytes(unacknowledged, sys.byteorder)
+
+
 def make_socket() -> socket.socket:
     """Return a non-blocking TCP socket with keep-alive probes."""
     new_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/tests/backends/test_http_service.py
+++ b/tests/backends/test_http_service.py
@@ -41,6 +41,15 @@
                 self.assertIs(failure.ending, AttemptEnding.malformed)
                 self.assertTrue(failure.may_have_run)
 
+    async def test_response_without_a_length_may_be_a_part(self):
+        """A body was taken for complete although its connection was reset."""
+        for end in ('reset', 'close'):
+            with self.subTest(end=end):
+                outcome = await self.exchange(
+                    b'HTTP/1.1 200 OK\r\n\r\npart', 0.05, end
+                )
+                self.assertTrue(outcome.failure().may_have_run)
+
     async def test_busy_response_without_retry_after_proves_nothing(self):
         """A refusal of an idempotent call then said that it had not run."""
         for idempotent in (True, False):
--- a/tests/transport/test_channels.py
+++ b/tests/transport/test_channels.py
@@ -117,6 +117,32 @@
         channel.close()
         server.close()
 
+    async def test_unframed_response_that_ends_while_sending_is_broken(self):
+        """A part of a body was taken for all of it.
+
+        The server ends its stream, leaves the upload unread and resets.
+        """
+
+        async def respond_in_part(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(UNFRAMED)
+            writer.write_eof()
+            await asyncio.sleep(0.01)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(respond_in_part, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        for size in (3_000_000, 14_000_000):
+            with self.subTest(size=size):
+                channel = await open_channel(f'{host}:{port}', 1)
+                self.addCleanup(channel.close)
+                channel.send(OutgoingRequest('POST', '/any', (), b'x' * size))
+                ending = await channel.receive()
+                if isinstance(ending, Head):
+                    ending = (await channel.receive_rest(ending)).ending
+                self.assertIs(ending, ResponseEnding.broken)
+
     async def test_response_with_an_undefined_status_is_broken(self):
         """Statuses 600 and 999 were passed on to callers."""
         for status in ('000', '099', '600', '999'):
