End requests whose decoding fails with an error

A request whose head made the decoder raise (a number of 5,000 digits) was never answered, its channel stayed open, and a host that was told to stop waited for it until the end of its grace.

Cause: Ingress.serve decoded the request before the try block that closes the channel and stops counting the request as active. Ruled out: the wait itself, which ends as soon as no request is active.

test_request_that_cannot_be_decoded_does_not_stay_active failed before.

--- a/src/monsoonwall/gateway/ingress.py
+++ b/src/monsoonwall/gateway/ingress.py
@@ -287,8 +287,8 @@
         """Decode and serve one request, then stop counting it as active."""
         caller = _HttpCaller(exchange.connection, self._intake)
         now = self._clock.read_monotonic()
-        decoded = self._dialect.read_request(start_line, headers, body, now)
         try:
+            decoded = self._dialect.read_request(start_line, headers, body, now)
             if is_successful(decoded):
                 await self._handler.serve(decoded.unwrap(), caller)
             else:
--- a/tests/gateway/test_ingress.py
+++ b/tests/gateway/test_ingress.py
@@ -1,7 +1,7 @@
 """Accept requests, except on channels that are being closed."""
 
 import unittest
-from unittest.mock import create_autospec
+from unittest.mock import create_autospec, patch
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -73,6 +73,16 @@
         await self.ingress.wait_idle(1)
         self.assertEqual(self.handler.served, ['a1'])
 
+    async def test_request_that_cannot_be_decoded_does_not_stay_active(self):
+        """A stopping host waited for such a request until its grace ended."""
+        exchange = self.open_channel()
+        with patch.object(
+            PlatformDialect, 'read_request', side_effect=ValueError
+        ):
+            await self.read_request(exchange)
+        self.assertEqual(self.ingress.active, 0)
+        self.connection.close.assert_called_once_with()
+
     async def test_new_channel_after_shutdown_is_closed(self):
         self.ingress.close_idle()
         await self.read_request(self.open_channel())
