Bound the numbers of tokens that callers name

A number of 400 digits closed the channel without an answer.

Cause: numbers of callers reached sums, floats and messages of 64 bits as they came. Ruled out: the headers that servers get, which are passed on unchanged.

A number of more than 20 digits is refused with 400 where the request is read. Greater numbers than 10^12 count as that, far above what any server holds or any limit allows, so that sums over all requests and hosts fit a message. The task that ends with its first exception is a fault of its own.

test_numbers_of_hundreds_of_digits_are_refused and test_requests_for_any_number_of_tokens_can_be_summed failed before.

--- a/src/monsoonwall/platform/dialect.py
+++ b/src/monsoonwall/platform/dialect.py
@@ -40,6 +40,10 @@
 _MODEL: Final = 'X-Monsoonwall-Model'
 # Number of prompt tokens and maximum number of output tokens, as "1460,80".
 _TOKEN_USAGE: Final = 'X-Monsoonwall-Token-Usage'
+# Numbers of 64 bits have up to 20 digits.
+_MAX_TOKEN_DIGITS: Final = 20
+# Far above the memory of a server, and above what any limit allows.
+_MAX_TOKENS: Final = 1_000_000_000_000
 _PROMPT_PREFIX: Final = 'X-Monsoonwall-Prompt-Prefix'
 _LAST_EVENT: Final = 'Last-Event-Id'
 _PRIORITY: Final = 'X-Monsoonwall-Request-Priority'
@@ -127,7 +131,8 @@
             forwarded = copy_headers(
                 headers, _NOT_FORWARDED | _list_connection_headers(headers)
             )
-        except HTTPInputError as error:
+            prompt = _read_prompt(headers)
+        except (HTTPInputError, ValueError) as error:
             return _make_bad_request(str(error))
         return Success(
             CallerRequest(
@@ -141,7 +146,7 @@
                 deadline=now + remaining_seconds,
                 passed_headers=tuple(forwarded.get_all()),
                 body=body,
-                prompt=_read_prompt(headers),
+                prompt=prompt,
                 last_event_id=headers.get(_LAST_EVENT, ''),
             )
         )
@@ -267,18 +272,29 @@
     return Prompt(
         headers.get(_MODEL, ''),
         _read_prompt_parts(headers.get(_PROMPT_PREFIX, '')),
-        int(counts[0]),
-        int(counts[1]),
+        _read_tokens(counts[0]),
+        _read_tokens(counts[1]),
     )
 
 
+def _read_tokens(digits: str) -> int:
+    """Return a number of tokens; raises ValueError if it is too long.
+
+    Numbers above the maximum are reduced to it, so that sums over all requests
+    and hosts remain in the range of the messages that hosts exchange.
+    """
+    if len(digits) > _MAX_TOKEN_DIGITS:
+        raise ValueError('a number of tokens is too long')
+    return min(int(digits), _MAX_TOKENS)
+
+
 def _read_prompt_parts(prompt_prefix: str) -> tuple[PromptPart, ...]:
     parts = []
     for entry in prompt_prefix.split(','):
         part_id, _, tokens = entry.strip().partition(':')
         if not part_id or not tokens.isdecimal():
             return tuple(parts)
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(part_id, _read_tokens(tokens)))
     return tuple(parts)
 
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -139,6 +139,32 @@
             if request.prompt is not None:
                 self.assertGreaterEqual(request.tokens, 0)
 
+    def test_numbers_of_hundreds_of_digits_are_refused(self):
+        """Such a request was not answered, or its channel was closed."""
+        for digits in (21, 400, 5000):
+            number = '9' * digits
+            for name, content in (
+                ('X-Monsoonwall-Token-Usage', f'1,{number}'),
+                ('X-Monsoonwall-Prompt-Prefix', f'ab:{number}'),
+            ):
+                headers = make_headers()
+                headers['X-Monsoonwall-Token-Usage'] = '1,1'
+                headers[name] = content
+                with self.subTest(digits=digits, name=name):
+                    refusal = self.read(headers).failure()
+                    self.assertIs(refusal.reason, RefusalReason.bad_request)
+
+    def test_requests_for_any_number_of_tokens_can_be_summed(self):
+        """The sum of two requests did not fit a message between hosts."""
+        headers = make_headers()
+        headers['X-Monsoonwall-Token-Usage'] = f'1,{2**64 - 1}'
+        tokens = self.read(headers).unwrap().tokens
+        self.assertLess(1_000_000 * tokens, 2**64)
+        self.assertIn(
+            ('X-Monsoonwall-Token-Usage', f'1,{2**64 - 1}'),
+            self.read(headers).unwrap().passed_headers,
+        )
+
     def test_header_that_cannot_be_forwarded_is_refused(self):
         """Such a header once closed the channel without a response."""
         headers = make_headers()
