Start background tasks again when they fail

One exception in a step, such as grants too large for a message, ended that task for good on a host that went on saying it was ready: loads, grants, counts, roll-outs, the watches of the store, or the mesh.

Cause: the tasks of a gateway were plain coroutines; the first exception was logged and nothing else happened. Ruled out: that the state of a task is lost with it; queues, revisions and tables are kept in objects, see the table in docs/design/gateway.md, so each can be started again.

Each task now runs in a BackgroundTask, which logs and counts a failure and starts it again with backoff. A host does not stop for a step that always fails, as what makes it fail may reach all hosts at once.

tests.test_background: test_all_tasks_are_kept_running and test_grants_are_exchanged_after_a_failure; on the code before there is nothing to start a task again.

--- a/src/monsoonwall/entry/mesh_node.py
+++ b/src/monsoonwall/entry/mesh_node.py
@@ -1,12 +1,12 @@
 """Build the mesh node of a host: its gossip, server, board and peers."""
 
 import asyncio
-from asyncio import Queue, Task
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 from grpc.aio import Channel
 
+from monsoonwall.background import BackgroundTask
 from monsoonwall.clocks import Clock
 from monsoonwall.decisions.gossip import Identity
 from monsoonwall.decisions.membership import (
@@ -35,7 +35,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._queues: dict[str, list[Queue[Entry | Fact]]] = {}
+        self._queues: dict[str, list[asyncio.Queue[Entry | Fact]]] = {}
         self._gossip: GossipTask | None = None
         self._planner: RoundPlanner | None = None
 
@@ -79,9 +79,9 @@
         """Return the facts of a kind that have not expired."""
         return self._gossip.store.facts.read(kind, self._clock.read_wall())
 
-    def subscribe(self, kind: str) -> Queue[Entry | Fact]:
+    def subscribe(self, kind: str) -> asyncio.Queue[Entry | Fact]:
         """Return a queue of the records of a kind that arrive from now on."""
-        queue: Queue[Entry | Fact] = Queue()
+        queue: asyncio.Queue[Entry | Fact] = asyncio.Queue()
         self._queues.setdefault(kind, []).append(queue)
         return queue
 
@@ -161,6 +161,7 @@
         )
         planner = RoundPlanner(store, settings.peers, clock.read_monotonic())
         self._own = own
+        self._clock = clock
         self._record = record
         self._planner = planner
         self._address = settings.mesh_address
@@ -175,7 +176,7 @@
             planner.roster, self._channels, store.membership, clock
         )
         self._server: MeshServer | None = None
-        self._tasks: list[Task[None]] = []
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(
         self,
@@ -191,12 +192,18 @@
             self._address, (self.gossip.register, *registrars)
         )
         await self._server.start()
-        self._tasks.append(asyncio.create_task(self.gossip.run()))
+        self._start_task('mesh', self.gossip.run)
         if objects is not None and self._use_platform_listing:
             registry = SeedRegistry(
                 self._own, self._record.address, self._planner, objects
             )
-            self._tasks.append(asyncio.create_task(registry.run()))
+            self._start_task('seeds', registry.run)
+
+    def _start_task(
+        self, name: str, run: Callable[[], Awaitable[None]]
+    ) -> None:
+        task = BackgroundTask(name, run, self._clock)
+        self._tasks.append(asyncio.create_task(task.run()))
 
     async def announce_leaving(self) -> None:
         """Announce to the peers that this host accepts no new work."""
--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import signal
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from random import Random
 from typing import Final
 
+from monsoonwall.background import BackgroundTask, make_periodic_task
 from monsoonwall.clocks import Clock
 from monsoonwall.entry.mesh_node import MeshNode
 from monsoonwall.gateway.adapters import GatewayAdapters
@@ -92,6 +93,7 @@
             self._mesh.board,
             clock,
         )
+        self.background_tasks = tuple(self._make_background_tasks())
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down."""
@@ -105,31 +107,40 @@
         self._serving.ingress.listen()
         await self._mesh.start((), self._adapters.objects)
         background_tasks = [
-            asyncio.create_task(coroutine)
-            for coroutine in self._make_coroutines()
+            asyncio.create_task(task.run()) for task in self.background_tasks
         ]
-        for task in background_tasks:
-            task.add_done_callback(self._log_task_end)
         _log.info('Gateway started.', host=self._settings.host_name)
         await self._shutdown_requested.wait()
         await self._shut_down()
         for task in background_tasks:
             task.cancel()
 
-    def _make_coroutines(self) -> Iterable[asyncio.Future[None]]:
-        for watcher in self._watchers:
-            yield watcher.run()
-        yield RecordGossip(
+    def _make_background_tasks(self) -> Iterable[BackgroundTask]:
+        gossip = RecordGossip(
             self._mesh.board, self._record_cache, self._clock, self._random
-        ).run()
-        yield self._duty_task.run()
-        yield self._serving.signals.run()
-        yield self._serving.pool.run()
-        yield self._serving.run_mover.run()
-        yield _repeat(self._serving.exchange_loads, _LOAD_INTERVAL_SECONDS)
-        yield _repeat(self._serving.exchange_grants, _GRANTS_INTERVAL_SECONDS)
-        yield _repeat(self._serving.exchange_counts, _USAGE_INTERVAL_SECONDS)
-        yield _repeat(self._serving.rollouts.advance, _ROLLOUT_INTERVAL_SECONDS)
+        )
+        runs = {
+            **{f'watch-{watch.kind}': watch.run for watch in self._watchers},
+            'records': gossip.run,
+            'duties': self._duty_task.run,
+            'signals': self._serving.signals.run,
+            'pool': self._serving.pool.run,
+            'moves': self._serving.run_mover.run,
+        }
+        for name, run in runs.items():
+            yield BackgroundTask(name, run, self._clock)
+        steps = (
+            ('loads', self._serving.exchange_loads, _LOAD_INTERVAL_SECONDS),
+            ('grants', self._serving.exchange_grants, _GRANTS_INTERVAL_SECONDS),
+            ('counts', self._serving.exchange_counts, _USAGE_INTERVAL_SECONDS),
+            (
+                'rollouts',
+                self._serving.rollouts.advance,
+                _ROLLOUT_INTERVAL_SECONDS,
+            ),
+        )
+        for name, step, seconds in steps:
+            yield make_periodic_task(name, step, seconds, self._clock)
 
     def _is_ready(self) -> bool:
         return (
@@ -140,13 +151,6 @@
     def _ignore_reload(self) -> None:
         _log.info('Ignoring SIGHUP: no setting can be reloaded.')
 
-    def _log_task_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or self._shutdown_requested.is_set():
-            return
-        _log.error(
-            'Background task ended unexpectedly.', reason=repr(task.exception())
-        )
-
     async def _shut_down(self) -> None:
         ingress = self._serving.ingress
         _log.info('Shutdown begun.', requests=ingress.active)
@@ -172,9 +176,3 @@
     return tuple(
         kind for kind in RecordKind if kind is not RecordKind.evacuation
     )
-
-
-async def _repeat(step: Callable[[], None], seconds: float) -> None:
-    while True:
-        step()
-        await asyncio.sleep(seconds)
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -202,7 +202,7 @@
         schedule: WatchSchedule,
         first_start: bool,
     ) -> None:
-        self._kind = kind
+        self.kind = kind
         self._source = source
         self._record_cache = record_cache
         self._clock = clock
@@ -252,7 +252,7 @@
                 'Watching the store out of turn.'
                 if out_of_turn
                 else 'Watching the store in turn again.',
-                kind=self._kind,
+                kind=self.kind,
             )
 
     async def _step(self, deadline: float) -> None:
@@ -265,7 +265,7 @@
         elif failure is StoreFailure.missing:
             _log.info(
                 'Store has discarded the history; listing again.',
-                kind=self._kind,
+                kind=self.kind,
             )
             self._revision = None
         else:
@@ -275,15 +275,13 @@
         # A stale list is cheaper, but safe only when the whole system starts
         # for the first time: later it could restore a server that has left or
         # an API key that was revoked.
-        listed = await self._source.list_records(
-            self._kind, self._needs_current
-        )
+        listed = await self._source.list_records(self.kind, self._needs_current)
         if not is_successful(listed):
             return listed.failure()
         listing = listed.unwrap()
         self._outages.record_response(listing.era)
         self._record_cache.adopt_listing(
-            self._kind, listing, self._outages.recovering
+            self.kind, listing, self._outages.recovering
         )
         self._revision = listing.revision
         self._era = listing.era
@@ -292,7 +290,7 @@
 
     async def _watch(self, deadline: float) -> StoreFailure | None:
         watched = await self._source.watch_records(
-            self._kind, self._revision or 0, deadline
+            self.kind, self._revision or 0, deadline
         )
         if not is_successful(watched):
             return watched.failure()
@@ -314,12 +312,12 @@
     def _record_success(self) -> None:
         self._backoff.reset()
         self._schedule.publish_reachable()
-        GATEWAY_STORE_LAST_RESPONSE.labels(self._kind).set(
+        GATEWAY_STORE_LAST_RESPONSE.labels(self.kind).set(
             self._clock.read_wall()
         )
         if self._failing_since is not None:
             self._failing_since = None
-            _log.info('Store answers again.', kind=self._kind)
+            _log.info('Store answers again.', kind=self.kind)
 
     async def _back_off(self, failure: StoreFailure, began: float) -> None:
         now = self._clock.read_monotonic()
@@ -327,7 +325,7 @@
             self._failing_since = began
             _log.warning(
                 'Store does not answer.',
-                kind=self._kind,
+                kind=self.kind,
                 reason=failure,
                 waited_ms=round(_MILLISECONDS_PER_SECOND * (now - began)),
             )
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -201,6 +201,11 @@
     'monsoonwall_gateway_hosts_heard',
     'Other hosts whose grants are known, with those of summed-up zones.',
 )
+TASK_FAILURES = Counter(
+    'monsoonwall_task_failures_total',
+    'Failures of background tasks, which are started again, by task.',
+    ('task',),
+)
 GATEWAY_UNKNOWN_WINDOWS = Counter(
     'monsoonwall_gateway_unknown_usage_windows_total',
     'Windows whose usage is not reported, because no known host observed them.',
