Skip entries of the store that cannot be decoded, however they are nested

Cause: the decoder recurses also over raw bytes that it passes over, and raises RecursionError for the whole list or watch; only DecodeError was expected. Ruled out: entries of wrong types, missing fields and cut-off ones.

Documents that are nested too deeply are decoded again without the elements at fault, found by a scan without recursion. All decoders of what comes from outside treat RecursionError as malformed input. Start times of servers, revisions and eras are bounded, ports are checked.

--- a/src/monsoonwall/backends/http_engine.py
+++ b/src/monsoonwall/backends/http_engine.py
@@ -11,7 +11,7 @@
 from functools import partial
 from typing import Any, Final
 
-from msgspec import DecodeError, Struct, ValidationError, json
+from msgspec import Struct, json
 from returns.result import Failure, Result, Success
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
@@ -25,6 +25,7 @@
 )
 from monsoonwall.backends.errors import classify_error
 from monsoonwall.clocks import Clock
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.pipeline.messages import (
     AttemptEnding,
     AttemptFailure,
@@ -204,7 +205,7 @@
             return payload
         try:
             event = self._event_decoder.decode(payload)
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             return AttemptFailure(AttemptEnding.malformed, str(error), True)
         return Chunk(
             event.request_id,
@@ -285,7 +286,7 @@
 def _decode(decoder: Any, body: bytes) -> Result[Any, AttemptFailure]:
     try:
         return Success(decoder.decode(body))
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         return Failure(
             AttemptFailure(AttemptEnding.malformed, str(error), True)
         )
--- a/src/monsoonwall/configuration/notes.py
+++ b/src/monsoonwall/configuration/notes.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import msgpack
 
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.mesh.board import Entry
 
 ANNOUNCEMENT_KIND: Final = 'configuration'
@@ -67,6 +68,6 @@
     """Return the note in an entry, or None if it cannot be decoded."""
     try:
         note = msgpack.decode(entry.payload, type=HostNote)
-    except (DecodeError, ValidationError):
+    except DECODE_ERRORS:
         return None
     return AttributedNote(entry.origin, note)
--- a/src/monsoonwall/control/lease_manager.py
+++ b/src/monsoonwall/control/lease_manager.py
@@ -4,7 +4,7 @@
 from typing import Final
 from uuid import uuid4
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 from returns.pipeline import is_successful
 from returns.result import Result
 
@@ -18,6 +18,7 @@
     Wait,
     Write,
 )
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.logs import make_logger
 from monsoonwall.metrics import LEASES
 from monsoonwall.platform.objects import (
@@ -145,5 +146,5 @@
 def _decode_record(content: bytes) -> LeaseRecord | None:
     try:
         return json.decode(content, type=LeaseRecord)
-    except (DecodeError, ValidationError):
+    except DECODE_ERRORS:
         return None
--- a/src/monsoonwall/entry/admin.py
+++ b/src/monsoonwall/entry/admin.py
@@ -4,11 +4,12 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-from msgspec import DecodeError, Struct, ValidationError, json
+from msgspec import Struct, json
 
 from monsoonwall.configuration.outcomes import PatchEnding, PatchOutcome
 from monsoonwall.configuration.stored import decode_stored
 from monsoonwall.configuration.submission import PatchRequest
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.entry.configuring import ConfigurationTask
 from monsoonwall.entry.reporting import ExplainQuery, ReportRegistry
 from monsoonwall.entry.web import JsonHandler
@@ -43,7 +44,7 @@
         """Submit the patch and respond with its outcome."""
         try:
             body = json.decode(self.request.body, type=_PatchBody)
-        except (DecodeError, ValidationError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             self.refuse(
                 Refusal(RefusalReason.bad_request, Effect.not_run, str(error))
             )
--- a/src/monsoonwall/entry/liveness.py
+++ b/src/monsoonwall/entry/liveness.py
@@ -4,7 +4,7 @@
 from asyncio import Queue
 from typing import Final
 
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import msgpack
 
 from monsoonwall.clocks import Clock
 from monsoonwall.decisions.leaving import (
@@ -13,6 +13,7 @@
     make_leaving_fact,
     read_leaving_servers,
 )
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board, Entry, Fact
 from monsoonwall.metrics import BROKEN_ATTEMPTS, LEAVING_SERVERS
@@ -77,7 +78,7 @@
             fact = await self._notices.get()
             try:
                 leaving = msgpack.decode(fact.payload, type=LeavingServer)
-            except (DecodeError, ValidationError) as error:
+            except DECODE_ERRORS as error:
                 _log.error('Cannot decode a leaving notice.', error=str(error))
                 continue
             self._record_leaving(leaving)
--- a/src/monsoonwall/entry/loads.py
+++ b/src/monsoonwall/entry/loads.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from msgspec import DecodeError, Struct, ValidationError, msgpack
+from msgspec import Struct, msgpack
 from returns.pipeline import is_successful
 
 from monsoonwall.backends.engine import ModelEngine
@@ -19,6 +19,7 @@
 from monsoonwall.decisions.cache import ChangeBatch, PrefixChange, is_sampled
 from monsoonwall.decisions.load import ServerCounts, ServerReport
 from monsoonwall.decisions.polling import choose_message_period, rank_poller
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.entry.liveness import LivenessTask
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board, Entry
@@ -211,7 +212,7 @@
     def _merge_peer_load(self, entry: Entry) -> None:
         try:
             load = msgpack.decode(entry.payload, type=HostLoad)
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             _log.error('Cannot decode a load entry.', error=str(error))
             return
         configured = (
--- a/src/monsoonwall/gateway/convicted_requests.py
+++ b/src/monsoonwall/gateway/convicted_requests.py
@@ -8,10 +8,11 @@
 
 from typing import Final
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 from returns.pipeline import is_successful
 
 from monsoonwall.decisions.crashing_requests import CrashRecord
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.gateway.duties import DutyWorker, LeaseHolder
 from monsoonwall.logs import make_logger
 from monsoonwall.pipeline.crash_records import ConvictionRecords
@@ -93,7 +94,7 @@
 def _decode_records(content: bytes) -> tuple[CrashRecord, ...]:
     try:
         return json.decode(content, type=tuple[CrashRecord, ...])
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         _log.warning(
             'Stored convicted requests cannot be decoded.', reason=str(error)
         )
--- a/src/monsoonwall/gateway/frozen_counts.py
+++ b/src/monsoonwall/gateway/frozen_counts.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 
 from monsoonwall.clocks import Clock
 from monsoonwall.logs import make_logger
@@ -52,7 +52,7 @@
         for fact in self._board.read_facts(_KIND):
             try:
                 frozen[int(fact.key)] = json.decode(fact.payload, type=Counts)
-            except (ValueError, DecodeError, ValidationError) as error:
+            except (ValueError, RecursionError) as error:
                 _log.warning(
                     'Cannot decode frozen counts of another host.',
                     reason=str(error),
--- a/src/monsoonwall/gateway/limiting.py
+++ b/src/monsoonwall/gateway/limiting.py
@@ -8,7 +8,7 @@
 from functools import lru_cache
 from typing import Final
 
-from msgspec import DecodeError, Struct, ValidationError, msgpack
+from msgspec import Struct, msgpack
 
 from monsoonwall.clocks import Clock
 from monsoonwall.decisions.allowances import (
@@ -18,6 +18,7 @@
     Limit,
     OtherHosts,
 )
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.gateway.model import Workspace
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.logs import make_logger
@@ -215,6 +216,6 @@
     """Decode grants; the result is cached and must not be modified."""
     try:
         return msgpack.decode(payload, type=Grants)
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         _log.warning('Cannot decode grants of other hosts.', reason=str(error))
         return Grants(0, {})
--- a/src/monsoonwall/gateway/loads.py
+++ b/src/monsoonwall/gateway/loads.py
@@ -10,12 +10,13 @@
 from functools import lru_cache
 from typing import Final
 
-from msgspec import DecodeError, Struct, ValidationError, msgpack
+from msgspec import Struct, msgpack
 
 from monsoonwall.clocks import Clock
 from monsoonwall.decisions.admission import RateMeter
 from monsoonwall.decisions.health import ServerHealth
 from monsoonwall.decisions.placement import Candidate
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.gateway.model import BackendServer, Prompt
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board
@@ -346,6 +347,6 @@
 def _decode_load(payload: bytes) -> PublishedLoad:
     try:
         return msgpack.decode(payload, type=PublishedLoad)
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         _log.warning('Cannot decode load of other hosts.', reason=str(error))
         return PublishedLoad({}, {})
--- a/src/monsoonwall/gateway/usage.py
+++ b/src/monsoonwall/gateway/usage.py
@@ -11,10 +11,11 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
-from msgspec import DecodeError, Struct, ValidationError, json, msgpack
+from msgspec import Struct, json, msgpack
 from returns.pipeline import is_successful
 
 from monsoonwall.clocks import Clock, SteadyWallClock
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.gateway.duties import (
     DutyCalls,
     DutyEnding,
@@ -208,7 +209,7 @@
 def _decode_counts(payload: bytes) -> _PublishedCounts:
     try:
         return msgpack.decode(payload, type=_PublishedCounts)
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         _log.warning('Cannot decode usage counts.', reason=str(error))
         return _PublishedCounts(0, {})
 
@@ -346,6 +347,6 @@
 def _decode_frozen(content: bytes) -> dict[int, Counts]:
     try:
         return json.decode(content, type=dict[int, Counts])
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         _log.warning('Cannot decode frozen counts.', reason=str(error))
         return {}
--- a/src/monsoonwall/mesh/registry.py
+++ b/src/monsoonwall/mesh/registry.py
@@ -9,7 +9,7 @@
 import asyncio
 from typing import Final
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 from returns.pipeline import is_successful
 
 from monsoonwall.decisions.gossip import (
@@ -18,6 +18,7 @@
     find_relay_role,
     hash_with_seed,
 )
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.peers import Peer
 from monsoonwall.mesh.rounds import RoundPlanner
@@ -125,5 +126,5 @@
 def _read_addresses(stored: StoredObject) -> tuple[str, ...]:
     try:
         return json.decode(stored.content, type=tuple[str, ...])
-    except (DecodeError, ValidationError):
+    except DECODE_ERRORS:
         return ()
--- a/src/monsoonwall/mesh/store.py
+++ b/src/monsoonwall/mesh/store.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass
 from typing import Final
 
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import msgpack
 
 from monsoonwall.decisions.gossip import Identity
 from monsoonwall.decisions.membership import HeartbeatState, Membership
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.mesh.board import Entry, Fact
 from monsoonwall.mesh.facts import FactTable
 from monsoonwall.mesh.logs import LogTable, OriginLog, RecordKey
@@ -222,5 +223,5 @@
 def _decode_host_record(payload: bytes) -> HostRecord | None:
     try:
         return msgpack.decode(payload, type=HostRecord)
-    except (DecodeError, ValidationError):
+    except DECODE_ERRORS:
         return None
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -201,6 +201,10 @@
     'monsoonwall_gateway_hosts_heard',
     'Other hosts whose grants are known, with those of summed-up zones.',
 )
+MALFORMED_ENTRIES = Counter(
+    'monsoonwall_malformed_entries_total',
+    'Objects of the store that were skipped, because they cannot be decoded.',
+)
 TASK_FAILURES = Counter(
     'monsoonwall_task_failures_total',
     'Failures of background tasks, which are started again, by task.',
--- a/src/monsoonwall/moves/evidence.py
+++ b/src/monsoonwall/moves/evidence.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Final
 
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import msgpack
 
 from monsoonwall.decisions.evidence import (
     EvidenceCounter,
@@ -13,6 +13,7 @@
     merge_increments,
     sum_evidence,
 )
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board, Entry
 
@@ -56,7 +57,7 @@
         self._last_payloads[entry.origin] = entry.payload
         try:
             evidence = self._decoder.decode(entry.payload)
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             _log.error(
                 'Evidence is malformed.', origin=entry.origin, error=str(error)
             )
--- a/src/monsoonwall/moves/records.py
+++ b/src/monsoonwall/moves/records.py
@@ -7,11 +7,12 @@
 
 from typing import Final
 
-from msgspec import DecodeError, ValidationError, json, msgpack
+from msgspec import json, msgpack
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from monsoonwall.decisions.moves import Conclusion, Phase
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.mesh.board import Board, Fact
 from monsoonwall.platform.objects import (
     CallReason,
@@ -137,5 +138,5 @@
         return None
     try:
         return json.decode(stored.content, type=Conclusion)
-    except (DecodeError, ValidationError):
+    except DECODE_ERRORS:
         return None
--- a/src/monsoonwall/pipeline/crash_records.py
+++ b/src/monsoonwall/pipeline/crash_records.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Any, Final
 
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import msgpack
 
 from monsoonwall.decisions.crashing_requests import (
     CONVICTION_SECONDS,
@@ -13,6 +13,7 @@
     CrashHistory,
     CrashRecord,
 )
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board, Entry, Fact
 
@@ -74,7 +75,7 @@
         """Store a record unless a later one with the same key exists."""
         try:
             record = self._decoder.decode(fact.payload)
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             _log.error('Crash record is malformed.', error=str(error))
             return
         by_key = self.records.setdefault(record.content_key, {})
--- a/src/monsoonwall/pipeline/request_parsing.py
+++ b/src/monsoonwall/pipeline/request_parsing.py
@@ -6,7 +6,7 @@
 from hashlib import sha256
 from typing import Final
 
-from msgspec import DecodeError, Struct, ValidationError, field, json
+from msgspec import Struct, field, json
 from returns.result import Failure, Result, Success
 from xxhash import xxh3_128_hexdigest
 
@@ -15,6 +15,7 @@
     Route,
     ServiceKind,
 )
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.pipeline.messages import (
     Call,
     Effect,
@@ -85,7 +86,7 @@
             return Failure(_refuse_unauthorized())
         try:
             completion = json.decode(request.body, type=_Completion)
-        except (DecodeError, ValidationError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             return Failure(_refuse(RefusalReason.bad_request, str(error)))
         route = self._configuration.routes.get(completion.model)
         refusal = self._check_completion(completion, route, chat)
--- a/src/monsoonwall/platform/documents.py
+++ b/src/monsoonwall/platform/documents.py
@@ -5,10 +5,11 @@
 
 from typing import Final
 
-from msgspec import DecodeError, Struct, ValidationError, field, json
+from msgspec import Struct, field, json
 from returns.pipeline import is_successful
 
 from monsoonwall.decisions.server_limits import ColdStart
+from monsoonwall.decoding import DECODE_ERRORS, Count, is_port
 from monsoonwall.gateway.model import (
     BackendServer,
     Catalogue,
@@ -111,12 +112,12 @@
     zone: str
     state: str
     version: str = ''
-    slots: int = 1
+    slots: Count = 1
     # True if the cloud may reclaim the server, in exchange for a lower price.
     spot: bool = False
     # Start time in Unix milliseconds. Distinguishes incarnations of the server
     # that have the same name.
-    born: int = 0
+    born: Count = 0
     cold_remaining_ms: float = 0
 
 
@@ -127,7 +128,7 @@
         """Decode a configuration."""
         try:
             spec = json.decode(record.content or b'', type=_Configuration)
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             _log.warning(
                 'Cannot decode configuration.',
                 revision=record.revision,
@@ -140,7 +141,7 @@
         """Decode the entry of a server."""
         try:
             spec = json.decode(record.content or b'', type=_Server)
-        except (DecodeError, ValidationError) as error:
+        except DECODE_ERRORS as error:
             _log.warning(
                 'Cannot decode server entry.',
                 server=record.name,
@@ -149,7 +150,7 @@
             )
             return None
         host, _, port = spec.address.rpartition(':')
-        if spec.state not in {_READY, _DRAINING} or not port.isdecimal():
+        if spec.state not in {_READY, _DRAINING} or not is_port(port):
             _log.warning(
                 'Server entry has an invalid state or address.',
                 server=record.name,
--- a/src/monsoonwall/platform/engines.py
+++ b/src/monsoonwall/platform/engines.py
@@ -3,8 +3,9 @@
 from http import HTTPStatus
 from typing import Final
 
-from msgspec import DecodeError, Struct, ValidationError, json
+from msgspec import Struct, json
 
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.gateway.engines import EngineCalls, MoveResult
 from monsoonwall.gateway.model import BackendServer
 from monsoonwall.transport.channels import call
@@ -47,7 +48,7 @@
     status = reply.head.status
     try:
         response = json.decode(reply.body or b'{}', type=_MoveResponse)
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         return MoveResult(detail=f'{status} {error}')
     return MoveResult(
         str(response.handle),
--- a/src/monsoonwall/platform/http_cloud.py
+++ b/src/monsoonwall/platform/http_cloud.py
@@ -2,13 +2,14 @@
 
 from typing import Any, Final
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 from returns.result import Failure, Result, Success
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
 from tornado.httputil import url_concat
 from tornado.simple_httpclient import HTTPTimeoutError
 
 from monsoonwall.clocks import Clock
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.platform.cloud import (
     CloudApi,
     CloudFailure,
@@ -87,7 +88,7 @@
 def _decode(body: bytes, response_type: Any) -> Result[Any, CloudFailure]:
     try:
         return Success(json.decode(body, type=response_type))
-    except (DecodeError, ValidationError):
+    except DECODE_ERRORS:
         return Failure(CloudFailure.lost)
 
 
--- a/src/monsoonwall/platform/rollouts.py
+++ b/src/monsoonwall/platform/rollouts.py
@@ -3,9 +3,10 @@
 from types import MappingProxyType
 from typing import Final
 
-from msgspec import DecodeError, Struct, ValidationError, json
+from msgspec import Struct, json
 from returns.result import Failure, Result, Success
 
+from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.gateway.model import Rollout, RolloutState
 from monsoonwall.gateway.records import Record
 from monsoonwall.platform.store_messages import StoreMetadata
@@ -46,10 +47,10 @@
     """Decode the order of a roll-out, or return the decoding error."""
     try:
         document = json.decode(record.content or b'', type=_RolloutObject)
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         return Failure(str(error))
     spec = document.spec
-    created = bytes(document.metadata.created).decode()
+    created = bytes(document.metadata.created).decode(errors='replace')
     return Success(
         Rollout(
             name=record.name,
--- a/src/monsoonwall/platform/store_messages.py
+++ b/src/monsoonwall/platform/store_messages.py
@@ -7,16 +7,20 @@
 from dataclasses import dataclass
 from typing import Any, Final, TypeVar
 
-from msgspec import DecodeError, Raw, Struct, ValidationError, field, json
+from msgspec import DecodeError, Raw, Struct, field, json
 from returns.result import Failure, Result, Success
 
+from monsoonwall.decoding import DECODE_ERRORS, Count, drop_nested
 from monsoonwall.logs import make_logger
+from monsoonwall.metrics import MALFORMED_ENTRIES
 from monsoonwall.platform.objects import StoreFailure
 from monsoonwall.transport.messages import Reply
 
 _log = make_logger('store')
 # Number of times that the store has returned from an older copy.
 _ERA_HEADER: Final = 'Store-Era'
+_LOGGED_BYTES: Final = 200
+_MAX_ERA_DIGITS: Final = 15
 _Decoded = TypeVar('_Decoded')
 
 
@@ -24,7 +28,7 @@
     """Name of an object and revision of its last change."""
 
     name: str = ''
-    revision: int = 0
+    revision: Count = 0
     # Distinguishes objects that had the same name at different times.
     created: Raw = field(default_factory=lambda: Raw(b'null'))
 
@@ -80,14 +84,23 @@
 def read_era(reply: Reply) -> int:
     """Return how often the store has returned from an older copy."""
     era = reply.head.headers.get(_ERA_HEADER, '')
-    return int(era) if era.isdecimal() else 0
+    is_valid = era.isdecimal() and len(era) <= _MAX_ERA_DIGITS
+    return int(era) if is_valid else 0
 
 
 def decode_response(reply: Reply, expected: Any) -> Result[Any, StoreFailure]:
     """Decode a response's body; ``lost`` if it is malformed."""
+    body = reply.body or b'{}'
     try:
-        return Success(json.decode(reply.body or b'{}', type=expected))
-    except (DecodeError, ValidationError) as error:
+        return Success(json.decode(body, type=expected))
+    except RecursionError:
+        _log.warning('Deeply nested response of the store.', bytes=len(body))
+    except DecodeError as error:
+        _log.warning('Cannot decode response of the store.', reason=str(error))
+        return Failure(StoreFailure.lost)
+    try:
+        return Success(json.decode(drop_nested(body), type=expected))
+    except DECODE_ERRORS as error:
         _log.warning('Cannot decode response of the store.', reason=str(error))
         return Failure(StoreFailure.lost)
 
@@ -105,6 +118,11 @@
     for item in items:
         try:
             decoded.append(json.decode(item, type=expected))
-        except (DecodeError, ValidationError) as error:
-            _log.warning('Malformed stored object skipped.', reason=str(error))
+        except DECODE_ERRORS as error:
+            MALFORMED_ENTRIES.inc()
+            _log.warning(
+                'Malformed stored object skipped.',
+                reason=str(error),
+                content=bytes(item)[:_LOGGED_BYTES].decode(errors='replace'),
+            )
     return tuple(decoded)
