Serve requests that have been read behind another during shutdown

Cause: the shutdown closed a channel when its next request began, whether or not that had been read already, and did not count it as active, so that the process could end first. Ruled out: the grace period, of which 4 s were left.

Channels with bytes of a further request stay open and are waited for within the grace period. A response announces the close only if nothing more has arrived.

--- a/src/monsoonwall/gateway/ingress.py
+++ b/src/monsoonwall/gateway/ingress.py
@@ -30,6 +30,7 @@
     IntakeServer,
     RequestIntake,
     RequestReceiver,
+    has_unread,
 )
 from monsoonwall.transport.messages import read_content_length
 
@@ -66,10 +67,9 @@
 class _HttpCaller(Caller):
     """Write a response on a caller's channel."""
 
-    def __init__(
-        self, connection: HTTP1Connection, intake: RequestIntake
-    ) -> None:
-        self._connection = connection
+    def __init__(self, exchange: '_Exchange', intake: RequestIntake) -> None:
+        self._exchange = exchange
+        self._connection = exchange.connection
         self._intake = intake
         self._unsent_bytes = 0
         self._started = False
@@ -82,6 +82,8 @@
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Write the status line and the headers."""
         self._started = True
+        if self._exchange.announce_close():
+            headers['Connection'] = 'close'
         self._connection.write_headers(
             ResponseStartLine('HTTP/1.1', status, _find_reason_phrase(status)),
             headers,
@@ -124,6 +126,19 @@
         self._serving: asyncio.Task[None] | None = None
         self._refused = False
         self._closed = False
+        self.close_announced = False
+
+    def announce_close(self) -> bool:
+        """Decide whether the response announces the end of the channel.
+
+        A further request that has already arrived is served first.
+        """
+        self.close_announced = self._ingress.leaving and not self.has_unread()
+        return self.close_announced
+
+    def has_unread(self) -> bool:
+        """Return whether bytes of a further request have arrived."""
+        return has_unread(self.connection)
 
     def close(self) -> None:
         """Close the channel; a request still being read is not served."""
@@ -208,6 +223,7 @@
         self._active: set[_Exchange] = set()
         self._idle = asyncio.Event()
         self._closing = False
+        self.leaving = False
         self._intake = RequestIntake(self, intake_limits, clock)
         self._server = IntakeServer(
             self._intake,
@@ -246,9 +262,11 @@
             self._server.conn_params.max_header_size = (
                 limits.max_header_bytes + _HEADER_MARGIN_BYTES
             )
+        previous = self._exchanges.get(server_conn)
         exchange = _Exchange(self, request_conn)
-        if self._closing:
-            # A response that began before shutdown kept the channel open.
+        announced = previous is not None and previous.close_announced
+        # A response that began before shutdown kept the channel open.
+        if announced or (self._closing and not exchange.has_unread()):
             exchange.close()
         self._exchanges[server_conn] = exchange
         return exchange
@@ -256,16 +274,19 @@
     def on_close(self, server_conn: object) -> None:
         """Remove a closed channel."""
         self._exchanges.pop(server_conn, None)
+        self._update_idle()
 
     def disable_keep_alive(self) -> None:
-        """Close each channel after its current or next response."""
-        self._server.conn_params.no_keep_alive = True
+        """Close each channel after its current or next response.
+
+        Requests that have arrived on it before that are served as well.
+        """
+        self.leaving = True
 
     async def wait_idle(self, seconds: float) -> None:
-        """Wait until no request is active, at most ``seconds``."""
+        """Wait until no request is active or has arrived, or ``seconds``."""
         self._idle.clear()
-        if not self._active:
-            return
+        self._update_idle()
         with suppress(TimeoutError):
             await asyncio.wait_for(self._idle.wait(), max(0, seconds))
 
@@ -274,7 +295,7 @@
         self._closing = True
         self._server.stop()
         for exchange in list(self._exchanges.values()):
-            if exchange not in self._active:
+            if exchange not in self._active and not exchange.has_unread():
                 exchange.close()
 
     async def serve(
@@ -285,7 +306,7 @@
         body: bytes,
     ) -> None:
         """Decode and serve one request, then stop counting it as active."""
-        caller = _HttpCaller(exchange.connection, self._intake)
+        caller = _HttpCaller(exchange, self._intake)
         now = self._clock.read_monotonic()
         try:
             decoded = self._dialect.read_request(start_line, headers, body, now)
@@ -313,7 +334,12 @@
     def remove_active(self, exchange: _Exchange) -> None:
         """Stop counting a request that has ended."""
         self._active.discard(exchange)
-        if not self._active:
+        self._update_idle()
+
+    def _update_idle(self) -> None:
+        if not self._active and not any(
+            exchange.has_unread() for exchange in self._exchanges.values()
+        ):
             self._idle.set()
 
     def refuse(
@@ -327,7 +353,7 @@
         is_temporary = reason is RefusalReason.overloaded
         self._handler.refuse(
             self._dialect.read_attempt_id(headers),
-            _HttpCaller(exchange.connection, self._intake),
+            _HttpCaller(exchange, self._intake),
             Refusal(
                 reason,
                 Effect.not_run,
--- a/src/monsoonwall/transport/intake.py
+++ b/src/monsoonwall/transport/intake.py
@@ -35,6 +35,13 @@
 _log = make_logger('intake')
 
 
+def has_unread(connection: HTTP1Connection) -> bool:
+    """Return whether bytes of a further request have been read."""
+    stream = connection.stream
+    # Tornado has no public name for this.
+    return stream is not None and stream._read_buffer_size > 0
+
+
 class RequestReceiver(HTTPMessageDelegate):
     """Receive one request; its body arrives as one piece."""
 
--- a/tests/gateway/test_ingress.py
+++ b/tests/gateway/test_ingress.py
@@ -1,7 +1,7 @@
 """Accept requests, except on channels that are being closed."""
 
 import unittest
-from unittest.mock import create_autospec, patch
+from unittest.mock import Mock, create_autospec, patch
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -42,6 +42,7 @@
             make_intake_limits(160, 1200),
         )
         self.connection = create_autospec(HTTP1Connection, instance=True)
+        self.connection.stream = Mock(_read_buffer_size=0)
 
     def open_channel(self):
         return self.ingress.start_request('channel', self.connection)
@@ -73,6 +74,17 @@
         await self.ingress.wait_idle(1)
         self.assertEqual(self.handler.served, ['a1'])
 
+    async def test_request_behind_another_is_served_during_shutdown(self):
+        """A further request that had been read was dropped with its channel."""
+        await self.read_request(self.open_channel())
+        self.ingress.disable_keep_alive()
+        self.ingress.close_idle()
+        self.connection.close.reset_mock()
+        self.connection.stream = Mock(_read_buffer_size=100)
+        await self.read_request(self.open_channel())
+        self.connection.close.assert_not_called()
+        self.assertEqual(self.handler.served, ['a1', 'a1'])
+
     async def test_request_that_cannot_be_decoded_does_not_stay_active(self):
         """A stopping host waited for such a request until its grace ended."""
         exchange = self.open_channel()
