Pass the bytes of a path and query on as they came

Cause: heads are read as Latin-1, but the target of a request is written as UTF-8. Ruled out: the routing and the headers, which keep their bytes.

The target is decoded as UTF-8 where a request is read. One that is not UTF-8, or contains a control character or a space, is refused with 400.

--- a/src/monsoonwall/platform/dialect.py
+++ b/src/monsoonwall/platform/dialect.py
@@ -1,5 +1,6 @@
 """The platform's HTTP protocol: headers, status codes and refusals."""
 
+import re
 from http import HTTPStatus
 from math import isfinite
 from types import MappingProxyType
@@ -40,6 +41,7 @@
 _MODEL: Final = 'X-Monsoonwall-Model'
 # Number of prompt tokens and maximum number of output tokens, as "1460,80".
 _TOKEN_USAGE: Final = 'X-Monsoonwall-Token-Usage'
+_CONTROL: Final = re.compile('[\x00-\x20\x7f]')
 # Numbers of 64 bits have up to 20 digits.
 _MAX_TOKEN_DIGITS: Final = 20
 # Far above the memory of a server, and above what any limit allows.
@@ -132,14 +134,15 @@
                 headers, _NOT_FORWARDED | _list_connection_headers(headers)
             )
             prompt = _read_prompt(headers)
+            target = _read_target(start_line.path)
         except (HTTPInputError, ValueError) as error:
             return _make_bad_request(str(error))
         return Success(
             CallerRequest(
                 attempt_id=attempt_id,
                 method=start_line.method,
-                target=start_line.path,
-                path=start_line.path.partition('?')[0],
+                target=target,
+                path=target.partition('?')[0],
                 host=hosts[0].partition(':')[0].lower(),
                 key=self.read_key(headers),
                 received_at=now,
@@ -265,6 +268,17 @@
         return None
 
 
+def _read_target(path: str) -> str:
+    """Return the text of a path and query; raises ValueError if malformed.
+
+    The bytes of a head arrive as characters of Latin-1, but those of a target
+    are written as UTF-8. Other bytes than UTF-8 could not be passed on.
+    """
+    if _CONTROL.search(path):
+        raise ValueError('the path contains a control character or a space')
+    return path.encode('latin-1').decode()
+
+
 def _read_prompt(headers: HTTPHeaders) -> Prompt | None:
     counts = headers.get(_TOKEN_USAGE, '').split(',')
     if len(counts) != 2 or not all(count.isdecimal() for count in counts):
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -139,6 +139,22 @@
             if request.prompt is not None:
                 self.assertGreaterEqual(request.tokens, 0)
 
+    def test_bytes_of_the_target_are_kept(self):
+        """The bytes of UTF-8 characters reached servers encoded twice."""
+        sent = '/look/1/caf\u00e9?q=\u6f22%2F'
+        received = sent.encode().decode('latin-1')
+        start = RequestStartLine('GET', received, 'HTTP/1.1')
+        request = self.read(make_headers(), start).unwrap()
+        self.assertEqual(request.target, sent)
+        self.assertEqual(request.path, '/look/1/caf\u00e9')
+
+    def test_target_that_cannot_be_passed_on_is_refused(self):
+        for path in ('/look/\xe9', '/look/\x01', '/look/a b', '/look/\x7f'):
+            with self.subTest(path=path):
+                start = RequestStartLine('GET', path, 'HTTP/1.1')
+                refusal = self.read(make_headers(), start).failure()
+                self.assertIs(refusal.reason, RefusalReason.bad_request)
+
     def test_numbers_of_hundreds_of_digits_are_refused(self):
         """Such a request was not answered, or its channel was closed."""
         for digits in (21, 400, 5000):
