Begin a turn to watch after the records that the mesh has brought

Cause: a host began its turn at the last revision that it had read itself. With any change since, the first call returned at once what it knew already. Ruled out: the number of watches that are open, which is as before.

A turn begins after the records that arrived from other hosts more than 1.5 s before, for kinds that hosts do not write themselves: whoever publishes such a record has read the earlier ones. A turn lasts 2 s, the longest watch before turns were introduced.

--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Iterable
 from random import Random
 from typing import Final
@@ -15,7 +16,7 @@
 from monsoonwall.decisions.budget import Backoff
 from monsoonwall.decisions.watch_turns import Turn, find_turn
 from monsoonwall.gateway.record_cache import RecordCache
-from monsoonwall.gateway.records import RecordKind, RecordSource
+from monsoonwall.gateway.records import Record, RecordKind, RecordSource
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board
 from monsoonwall.mesh.peers import Peers
@@ -25,7 +26,7 @@
 # Length of a turn, and of a watch without changes. A watch that the store has
 # lost looks like one without news until it times out; with the timeout of the
 # call, this stays below the required contact time (3 s).
-_TURN_SECONDS: Final = 1.75
+_TURN_SECONDS: Final = 2.0
 # Kept short, because hosts must reach a recovered store within the required
 # contact time.
 _MIN_BACKOFF_SECONDS: Final = 0.2
@@ -50,6 +51,11 @@
 # Time after which a host looks again whether to watch.
 _STANDBY_SECONDS: Final = 0.25
 _MIN_PAUSE_SECONDS: Final = 0.01
+# Records that another host has read reach all hosts within this time.
+_SPREAD_SECONDS: Final = 1.5
+# Kinds of which hosts write no records, so that whoever publishes one has also
+# read the earlier ones.
+_READ_ONLY_KINDS: Final = frozenset((RecordKind.catalogue, RecordKind.server))
 # Delay between watch calls, so that one call returns several changes. Counts
 # towards the time within which a change must take effect.
 _BATCH_SECONDS: Final = 0.3
@@ -212,6 +218,8 @@
         self._backoff = Backoff(_MIN_BACKOFF_SECONDS, _MAX_BACKOFF_SECONDS)
         self._revision: int | None = None
         self._era = 0
+        # Revisions received from other hosts, and when (monotonic seconds).
+        self._received: deque[tuple[float, int]] = deque()
         self._outages = OutageDetector(clock)
         # Since when the store has not responded to this host.
         self._failing_since: float | None = None
@@ -219,6 +227,8 @@
         self._turn_seconds = _TURN_SECONDS
         if kind is RecordKind.evacuation:
             self._turn_seconds *= _EVACUATION_TURN_FACTOR
+        if kind in _READ_ONLY_KINDS:
+            record_cache.subscribe(self._note_record)
 
     async def run(self) -> None:
         """List and watch until cancelled."""
@@ -241,6 +251,23 @@
             return now + self._turn_seconds
         return None
 
+    def _note_record(self, record: Record) -> None:
+        is_later = record.revision > (self._revision or 0)
+        if record.kind is self.kind and record.era == self._era and is_later:
+            now = self._clock.read_monotonic()
+            self._received.append((now, record.revision))
+
+    def _skip_received(self) -> None:
+        """Continue after the records that the mesh has brought by now.
+
+        A watch from an earlier revision would return them at once, which is a
+        call more in each turn.
+        """
+        spread_before = self._clock.read_monotonic() - _SPREAD_SECONDS
+        while self._received and self._received[0][0] <= spread_before:
+            revision = self._received.popleft()[1]
+            self._revision = max(self._revision or 0, revision)
+
     def _update_out_of_turn(self) -> None:
         out_of_turn = (
             self._failing_since is not None
@@ -268,6 +295,7 @@
                 kind=self.kind,
             )
             self._revision = None
+            self._received.clear()
         else:
             await self._back_off(failure, began)
 
@@ -289,6 +317,7 @@
         return None
 
     async def _watch(self, deadline: float) -> StoreFailure | None:
+        self._skip_received()
         watched = await self._source.watch_records(
             self.kind, self._revision or 0, deadline
         )
@@ -298,6 +327,7 @@
         if changes.era != self._era:
             # Changes between the copy and the watch's revision are not in it.
             self._revision = None
+            self._received.clear()
             return None
         self._outages.record_response(changes.era)
         for record in changes.records:
