Look for further requests only while a host waits to stop

Only a stopping host needs to know.

The start of an outage is now also computed right if no failing host is known; no caller does that today.

--- a/src/monsoonwall/gateway/ingress.py
+++ b/src/monsoonwall/gateway/ingress.py
@@ -222,6 +222,7 @@
         self._exchanges: dict[Any, _Exchange] = {}
         self._active: set[_Exchange] = set()
         self._idle = asyncio.Event()
+        self._idle.set()
         self._closing = False
         self.leaving = False
         self._intake = RequestIntake(self, intake_limits, clock)
@@ -337,9 +338,10 @@
         self._update_idle()
 
     def _update_idle(self) -> None:
-        if not self._active and not any(
-            exchange.has_unread() for exchange in self._exchanges.values()
-        ):
+        # Only looked at while ``wait_idle`` waits.
+        if self._idle.is_set() or self._active:
+            return
+        if not any(map(_Exchange.has_unread, self._exchanges.values())):
             self._idle.set()
 
     def refuse(
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -48,7 +48,7 @@
 _REACHABILITY_KIND: Final = 'store-reach'
 _REACHABLE: Final = b'+'
 _UNREACHABLE: Final = b'-'
-# Time after which a host looks again whether to watch.
+# How often a host that does not watch looks whether it should.
 _STANDBY_SECONDS: Final = 0.25
 _MIN_PAUSE_SECONDS: Final = 0.01
 # Records that another host has read reach all hosts within this time.
@@ -131,7 +131,7 @@
     def find_outage_start(self, failing_since: float) -> float:
         """Return since when this host, or another one, has failed."""
         self.list_unreachable_hosts()
-        return min(failing_since, *self._failing_since.values())
+        return min((failing_since, *self._failing_since.values()))
 
     def list_unreachable_hosts(self) -> frozenset[str]:
         """Return the hosts that reported the store as unreachable."""
@@ -196,7 +196,7 @@
 
 
 class RecordWatcher:
-    """List one kind of record, and then watch it in turns with other hosts."""
+    """List one kind of record, then watch it in turns with other hosts."""
 
     def __init__(
         self,
