Skip records from the mesh after half a second

Cause: records that arrived within the 1.5 s before a turn were read again. That time was meant for the mesh to bring the earlier records to this host, but it is enough that hosts hold them: gossip brings them anyway.

--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -51,8 +51,8 @@
 # How often a host that does not watch looks whether it should.
 _STANDBY_SECONDS: Final = 0.25
 _MIN_PAUSE_SECONDS: Final = 0.01
-# Records that another host has read reach all hosts within this time.
-_SPREAD_SECONDS: Final = 1.5
+# Time after which the records before a received one are held by several hosts.
+_SPREAD_SECONDS: Final = 0.5
 # Kinds of which hosts write no records, so that whoever publishes one has also
 # read the earlier ones.
 _READ_ONLY_KINDS: Final = frozenset((RecordKind.catalogue, RecordKind.server))
