Measure how recent the records of each host are

Callers saw a server used 3.4 s after it had left, and no log or metric told whether the host had heard nothing, had skipped the record or had been slow.

Hosts now know up to which revision and as of when they hold all records: the store's response to a host, or a complete exchange with a host that knew it (watermarks). The age before each response of the store is a metric, and an age over 3 s a log line. Nothing is decided by it yet.

--- a/src/monsoonwall/entry/mesh_node.py
+++ b/src/monsoonwall/entry/mesh_node.py
@@ -24,6 +24,7 @@
 from monsoonwall.mesh.server import MeshServer
 from monsoonwall.mesh.settings import MeshSettings
 from monsoonwall.mesh.store import HostRecord, RecordStore
+from monsoonwall.mesh.watermarks import Watermark
 from monsoonwall.platform.objects import ObjectStore
 
 _MILLISECONDS_PER_SECOND: Final = 1000
@@ -84,6 +85,14 @@
         self._queues.setdefault(kind, []).append(queue)
         return queue
 
+    def advance_watermark(self, watermark: Watermark) -> None:
+        """Declare up to where this host holds all facts of a source."""
+        self._gossip.store.watermarks.advance(watermark)
+
+    def find_watermark(self, key: str) -> Watermark | None:
+        """Return up to where this host holds all facts of a source."""
+        return self._gossip.store.watermarks.find(key)
+
     def declare_merge(self, kind: str, merge: Merge) -> None:
         """Register how a zone's relays merge the entries of a kind."""
         self._planner.summaries.declare_merge(kind, merge)
--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -66,18 +66,19 @@
             clock,
             self._random,
         )
+        self._schedule = WatchSchedule(
+            self._mesh.board,
+            self._mesh.peers,
+            clock,
+            settings.host_name,
+            settings.zone,
+        )
         self._watchers = make_watchers(
             adapters.records,
             self._record_cache,
             clock,
             self._random,
-            WatchSchedule(
-                self._mesh.board,
-                self._mesh.peers,
-                clock,
-                settings.host_name,
-                settings.zone,
-            ),
+            self._schedule,
             settings.first_start,
             _choose_record_kinds(settings),
         )
@@ -117,7 +118,11 @@
 
     def _make_background_tasks(self) -> Iterable[BackgroundTask]:
         gossip = RecordGossip(
-            self._mesh.board, self._record_cache, self._clock, self._random
+            self._mesh.board,
+            self._record_cache,
+            self._clock,
+            self._random,
+            self._schedule.confirmations,
         )
         runs = {
             **{f'watch-{watch.kind}': watch.run for watch in self._watchers},
--- /dev/null
+++ b/src/monsoonwall/gateway/record_confirmations.py
@@ -0,0 +1,85 @@
+"""Tell how recent this host's records are, whichever way they came.
+
+A host confirms a revision when the store has responded to it, and passes that
+on with an exchange of records (see ``mesh.watermarks``). So a host also knows
+of the records that it received from others up to when they are complete.
+"""
+
+import struct
+from dataclasses import dataclass
+from typing import Final
+
+from monsoonwall.clocks import Clock
+from monsoonwall.gateway.records import Record, RecordKind
+from monsoonwall.mesh.board import Board
+from monsoonwall.mesh.watermarks import Watermark
+
+_KEY_PREFIX: Final = 'record/'
+# Era and revision, in an order in which greater bytes are later.
+_POSITION: Final = struct.Struct('>QQ')
+
+
+@dataclass(frozen=True)
+class Confirmation:
+    """State that all records of a kind are known up to a revision of an era.
+
+    ``confirmed_at`` is when that was the store's latest revision, in monotonic
+    seconds.
+    """
+
+    kind: RecordKind
+    era: int
+    revision: int
+    confirmed_at: float
+
+
+class RecordConfirmations:
+    """Hold the latest confirmation of each kind of record."""
+
+    def __init__(self, board: Board, clock: Clock) -> None:
+        self._board = board
+        self._clock = clock
+        self._is_publishing = False
+        self._held: list[Confirmation] = []
+
+    def hold(self, _record: Record) -> None:
+        """Hold further confirmations until ``release`` is called.
+
+        Other hosts must not hear of a revision before its records.
+        """
+        self._is_publishing = True
+
+    def release(self) -> None:
+        """Announce the held confirmations, as all records are published."""
+        self._is_publishing = False
+        for confirmation in self._held:
+            self.confirm(confirmation)
+        self._held.clear()
+
+    def confirm(self, confirmation: Confirmation) -> None:
+        """Adopt what the store has confirmed to this host."""
+        if self._is_publishing:
+            self._held.append(confirmation)
+            return
+        self._board.advance_watermark(
+            Watermark(
+                f'{_KEY_PREFIX}{confirmation.kind}',
+                _POSITION.pack(confirmation.era, confirmation.revision),
+                confirmation.confirmed_at,
+            )
+        )
+
+    def find(self, kind: RecordKind) -> Confirmation | None:
+        """Return the latest confirmation, of this host or of another one."""
+        watermark = self._board.find_watermark(f'{_KEY_PREFIX}{kind}')
+        if watermark is None or len(watermark.position) != _POSITION.size:
+            return None
+        era, revision = _POSITION.unpack(watermark.position)
+        return Confirmation(kind, era, revision, watermark.confirmed_at)
+
+    def read_age(self, kind: RecordKind) -> float:
+        """Return how many seconds ago the records were last confirmed."""
+        found = self.find(kind)
+        if found is None:
+            return float('inf')
+        return self._clock.read_monotonic() - found.confirmed_at
--- a/src/monsoonwall/gateway/record_gossip.py
+++ b/src/monsoonwall/gateway/record_gossip.py
@@ -11,6 +11,7 @@
 
 from monsoonwall.clocks import Clock
 from monsoonwall.gateway.record_cache import RecordCache
+from monsoonwall.gateway.record_confirmations import RecordConfirmations
 from monsoonwall.gateway.records import Record, RecordKind
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board, Entry, Fact
@@ -76,6 +77,7 @@
         record_cache: RecordCache,
         clock: Clock,
         random: Random,
+        confirmations: RecordConfirmations | None = None,
     ) -> None:
         self._board = board
         self._record_cache = record_cache
@@ -84,6 +86,8 @@
         self._received = board.subscribe(RECORD_KIND)
         self._pending: asyncio.Queue[Record] = asyncio.Queue()
         record_cache.subscribe(self._pending.put_nowait)
+        self._confirmations = confirmations or RecordConfirmations(board, clock)
+        record_cache.subscribe(self._confirmations.hold)
 
     async def run(self) -> None:
         """Receive and publish records until cancelled."""
@@ -119,6 +123,7 @@
             }
             for record in records:
                 self._publish(record, published)
+            self._confirmations.release()
 
     def _publish(self, record: Record, published: dict[str, bytes]) -> None:
         key = f'{record.kind}/{record.name}'
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -16,11 +16,15 @@
 from monsoonwall.decisions.budget import Backoff
 from monsoonwall.decisions.watch_turns import Turn, find_turn
 from monsoonwall.gateway.record_cache import RecordCache
+from monsoonwall.gateway.record_confirmations import (
+    Confirmation,
+    RecordConfirmations,
+)
 from monsoonwall.gateway.records import Record, RecordKind, RecordSource
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board
 from monsoonwall.mesh.peers import Peers
-from monsoonwall.metrics import GATEWAY_STORE_LAST_RESPONSE
+from monsoonwall.metrics import GATEWAY_RECORD_AGE, GATEWAY_STORE_LAST_RESPONSE
 from monsoonwall.platform.objects import StoreFailure
 
 # Length of a turn, and of a watch without changes. A watch that the store has
@@ -56,6 +60,8 @@
 # Kinds of which hosts write no records, so that whoever publishes one has also
 # read the earlier ones.
 _READ_ONLY_KINDS: Final = frozenset((RecordKind.catalogue, RecordKind.server))
+# Hosts without a fault hear of a confirmation sooner.
+_LOGGED_AGE_SECONDS: Final = 3.0
 # Delay between watch calls, so that one call returns several changes. Counts
 # towards the time within which a change must take effect.
 _BATCH_SECONDS: Final = 0.3
@@ -82,6 +88,7 @@
         self._steady_clock = SteadyWallClock(clock)
         self._own_name = own_name
         self._zone = zone
+        self.confirmations = RecordConfirmations(board, clock)
         self._published = _REACHABLE
         # Since when each unreachable host has failed (monotonic seconds).
         self._failing_since: dict[str, float] = {}
@@ -303,6 +310,7 @@
         # A stale list is cheaper, but safe only when the whole system starts
         # for the first time: later it could restore a server that has left or
         # an API key that was revoked.
+        began = self._clock.read_monotonic()
         listed = await self._source.list_records(self.kind, self._needs_current)
         if not is_successful(listed):
             return listed.failure()
@@ -313,6 +321,8 @@
         )
         self._revision = listing.revision
         self._era = listing.era
+        if self._needs_current:
+            self._confirm(began)
         self._needs_current = True
         return None
 
@@ -333,12 +343,31 @@
         for record in changes.records:
             self._record_cache.adopt(record, self._outages.recovering)
         self._revision = max(self._revision or 0, changes.revision)
+        # The store responds early only when there are changes.
+        self._confirm(min(deadline, self._clock.read_monotonic()))
         if changes.records:
             # Servers often start and stop in groups. Waiting collects their
             # changes into one response, since each response costs a call.
             await asyncio.sleep(_BATCH_SECONDS)
         return None
 
+    def _confirm(self, confirmed_at: float) -> None:
+        previous = self._schedule.confirmations.find(self.kind)
+        if previous is not None:
+            age = confirmed_at - previous.confirmed_at
+            GATEWAY_RECORD_AGE.labels(self.kind).observe(age)
+            if age > _LOGGED_AGE_SECONDS:
+                _log.info(
+                    'Records had not been confirmed for long.',
+                    kind=self.kind,
+                    age_ms=round(_MILLISECONDS_PER_SECOND * age),
+                )
+        self._schedule.confirmations.confirm(
+            Confirmation(
+                self.kind, self._era, self._revision or 0, confirmed_at
+            )
+        )
+
     def _record_success(self) -> None:
         self._backoff.reset()
         self._schedule.publish_reachable()
--- a/src/monsoonwall/mesh/board.py
+++ b/src/monsoonwall/mesh/board.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from monsoonwall.mesh.watermarks import Watermark
+
 # Prefix of the origin of entries that summarize a zone.
 SUMMARY_PREFIX: Final = 'zone/'
 # Merges the payloads that several hosts published under one key.
@@ -80,6 +82,15 @@
     def subscribe(self, kind: str) -> Queue[Entry | Fact]:
         """Return a queue of the records of a kind that arrive from now on."""
 
+    def advance_watermark(self, watermark: Watermark) -> None:  # noqa: B027
+        """Declare up to where this host holds all facts of a source.
+
+        Everything that the watermark covers must have been published.
+        """
+
+    def find_watermark(self, key: str) -> Watermark | None:  # noqa: B027
+        """Return up to where this host holds all facts of a source."""
+
     def declare_merge(self, kind: str, merge: Merge) -> None:  # noqa: B027
         """Register how a zone's relays merge the entries of a kind.
 
--- a/src/monsoonwall/mesh/exchange.py
+++ b/src/monsoonwall/mesh/exchange.py
@@ -12,6 +12,12 @@
 from monsoonwall.mesh.board import Fact
 from monsoonwall.mesh.logs import OriginLog, make_origin_id
 from monsoonwall.mesh.store import RecordStore
+from monsoonwall.mesh.watermarks import (
+    Watermark,
+    decode_watermarks,
+    encode_watermarks,
+    is_ahead,
+)
 from monsoonwall.mesh.wire.gossip_pb2 import (
     ExchangeReply,
     ExchangeRequest,
@@ -28,6 +34,15 @@
 # A departure carries the whole log: the record that says that the host leaves
 # is the last one, and a delta cut at the usual limit would not reach it.
 MAX_DEPARTURE_BYTES: Final = 2_000_000
+_MILLISECONDS_PER_SECOND: Final = 1000
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """Hold the watermarks as of a digest, taken at a monotonic time."""
+
+    taken_at: float
+    watermarks: tuple[Watermark, ...]
 
 
 class Exchanger:
@@ -40,6 +55,10 @@
         self._max_section_bytes = max_section_bytes
         self._sent_older_facts = 0
 
+    def take_snapshot(self, now: float) -> Snapshot:
+        """Return the watermarks that hold for a request made now."""
+        return Snapshot(now, self.store.watermarks.list_all())
+
     def make_request(self, zones: Sequence[str]) -> ExchangeRequest:
         """Return a digest of the logs of the given zones and of all facts.
 
@@ -91,23 +110,50 @@
             request.fact_buckets
         )
         reply.wanted_buckets.extend(differing)
-        self._add_facts(reply.facts, differing)
+        reply.made_at_milliseconds = int(_MILLISECONDS_PER_SECOND * now)
+        if self._add_facts(reply.facts, differing):
+            snapshot = self.take_snapshot(now)
+            reply.watermarks.extend(encode_watermarks(snapshot.watermarks, now))
         return reply
 
     def apply_reply(
-        self, reply: ExchangeReply, now: float, now_wall: float
+        self,
+        reply: ExchangeReply,
+        now: float,
+        now_wall: float,
+        snapshot: Snapshot | None = None,
     ) -> PushRequest | None:
-        """Store the contents of a reply; return what its sender requests."""
+        """Store the contents of a reply; return what its sender requests.
+
+        ``snapshot`` was taken with the request.
+        """
         fresh = zip(reply.fresh_origins, reply.fresh_heartbeats, strict=True)
         for origin, heartbeat in fresh:
             log = self.store.logs.find_by_id(origin)
             if log is not None:
                 self.store.receive_heartbeat(log, heartbeat, now)
-        push = self._make_requested_push(reply)
+        push, is_complete = self._make_requested_push(reply)
         self.store.apply_deltas(reply.deltas, now)
         self.merge_facts(reply.facts, now_wall)
+        received: tuple[Watermark, ...] = ()
+        if snapshot is not None:
+            received = decode_watermarks(reply.watermarks, snapshot.taken_at)
+            self._advance_watermarks(received)
+        if snapshot is not None and is_complete:
+            push.watermarks.extend(encode_watermarks(snapshot.watermarks, now))
+            push.reply_made_at_milliseconds = reply.made_at_milliseconds
+            if is_ahead(snapshot.watermarks, received):
+                return push
         return push if push.deltas or push.facts else None
 
+    def apply_push_watermarks(self, push: PushRequest, now: float) -> None:
+        """Adopt the watermarks of a push whose facts have been merged."""
+        # The push answers a reply, so it was sent after that was made.
+        made_at = push.reply_made_at_milliseconds / _MILLISECONDS_PER_SECOND
+        self._advance_watermarks(
+            decode_watermarks(push.watermarks, min(made_at, now))
+        )
+
     def merge_facts(
         self, records: Iterable[FactRecord], now_wall: float
     ) -> tuple[Fact, ...]:
@@ -152,22 +198,31 @@
         elif digest.sequence < log.sequence:
             budget.add_delta(reply.deltas, log, digest.sequence)
 
-    def _make_requested_push(self, reply: ExchangeReply) -> PushRequest:
+    def _advance_watermarks(self, watermarks: Iterable[Watermark]) -> None:
+        for watermark in watermarks:
+            self.store.watermarks.advance(watermark)
+
+    def _make_requested_push(
+        self, reply: ExchangeReply
+    ) -> tuple[PushRequest, bool]:
+        """Return the requested push, and whether it has all wanted facts."""
         push = PushRequest(sender=self.store.own.name)
-        self._add_facts(push.facts, reply.wanted_buckets)
+        is_complete = self._add_facts(push.facts, reply.wanted_buckets)
         budget = _Budget(self._max_section_bytes)
         wanted = zip(reply.wanted_origins, reply.wanted_after, strict=True)
         for origin, sequence in wanted:
             log = self.store.logs.find_by_id(origin)
             if log is not None:
                 budget.add_delta(push.deltas, log, sequence)
-        return push
+        return push, is_complete
 
     def _add_facts(
         self, records: 'list[FactRecord]', buckets: Iterable[int]
-    ) -> None:
+    ) -> bool:
         """Add facts of the buckets up to the size of a section.
 
+        Returns whether all of them were added.
+
         Half of it is for the latest ones, which the receiver most likely
         lacks. The rest continues each time where the last one ended, so that
         all facts are sent although the buckets go on changing.
@@ -184,10 +239,11 @@
         start = self._sent_older_facts % max(1, len(older))
         for fact in (*older[start:], *older[:start]):
             if remaining_bytes <= 0:
-                return
+                return False
             remaining_bytes -= _measure_fact(fact)
             self._sent_older_facts += 1
             records.append(_write_fact(fact))
+        return True
 
 
 @dataclass(frozen=True)
--- a/src/monsoonwall/mesh/gossip.py
+++ b/src/monsoonwall/mesh/gossip.py
@@ -104,6 +104,9 @@
         )
         for fact in fresh:
             self.pushes.schedule(fact)
+        self._exchanger.apply_push_watermarks(
+            request, self._clock.read_monotonic()
+        )
 
     async def announce_leaving(self, left: bool) -> None:
         """Send all peers the notice that this host leaves, or has left."""
@@ -152,6 +155,7 @@
 
     async def _exchange(self, target: Target) -> None:
         stub = MeshStub(self._channels.find(target.address))
+        snapshot = self._exchanger.take_snapshot(self._clock.read_monotonic())
         request = self._exchanger.make_request(target.zones)
         count_message('sent', 'exchange', request.ByteSize())
         called_at = read_loop_time()
@@ -163,7 +167,10 @@
         self._channels.record_response(target.address)
         count_message('received', 'reply', reply.ByteSize())
         push = self._exchanger.apply_reply(
-            reply, self._clock.read_monotonic(), self._clock.read_wall()
+            reply,
+            self._clock.read_monotonic(),
+            self._clock.read_wall(),
+            snapshot,
         )
         if push is not None:
             await self.pushes.push(target, push)
--- a/src/monsoonwall/mesh/store.py
+++ b/src/monsoonwall/mesh/store.py
@@ -13,6 +13,7 @@
 from monsoonwall.mesh.facts import FactTable
 from monsoonwall.mesh.logs import LogTable, OriginLog, RecordKey
 from monsoonwall.mesh.peers import Peer
+from monsoonwall.mesh.watermarks import WatermarkTable
 from monsoonwall.mesh.wire.gossip_pb2 import LogDelta, LogRecord
 
 HOST_KIND: Final = 'host'
@@ -85,6 +86,7 @@
         self.own = own
         self.hosts_version = 0
         self.facts = FactTable()
+        self.watermarks = WatermarkTable()
         self.logs = LogTable()
         self.membership = membership
         self._notify = notify
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -197,6 +197,13 @@
     'Unix time at which the store last answered, by kind of record.',
     ('kind',),
 )
+GATEWAY_RECORD_AGE = Histogram(
+    'monsoonwall_gateway_record_age_seconds',
+    'Time since the records were last confirmed, before each confirmation by '
+    'the store itself, by kind of record.',
+    ('kind',),
+    buckets=(0.1, 0.25, 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10),
+)
 GATEWAY_REPORTING_HOSTS = Gauge(
     'monsoonwall_gateway_hosts_heard',
     'Other hosts whose grants are known, with those of summed-up zones.',
--- /dev/null
+++ b/tests/gateway/test_record_confirmations.py
@@ -0,0 +1,66 @@
+"""Test that hosts hold all records up to what has been confirmed to them."""
+
+import asyncio
+import unittest
+from random import Random
+
+from monsoonwall.gateway.records import RecordKind
+from tests.gateway.virtual_gateways import VirtualGateways
+from tests.mesh.virtual_fleet import VirtualLoop, close_loop
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+CONVERGENCE_SECONDS = 12
+DRAIN_SECONDS = 3.0
+SERVERS = 5
+STEPS = 60
+
+
+class RecordConfirmationsTest(unittest.TestCase):
+    """Change servers while channels fall silent and hosts are cut off."""
+
+    def run_fleet(self, hosts_per_zone, seed):
+        loop = VirtualLoop()
+        try:
+            return loop.run_until_complete(
+                self.disturb(loop, hosts_per_zone, Random(seed))
+            )
+        finally:
+            close_loop(loop)
+
+    async def disturb(self, loop, hosts_per_zone, random):
+        gateways = VirtualGateways(ZONES, hosts_per_zone, loop, DRAIN_SECONDS)
+        gateways.start()
+        await asyncio.sleep(CONVERGENCE_SECONDS)
+        hosts = list(gateways.caches)
+        for _ in range(STEPS):
+            gateways.store.write_server(f'i-{random.randrange(SERVERS)}')
+            if not random.randrange(10):
+                gateways.fleet.silence_channels()
+            if not random.randrange(10):
+                gateways.fleet.cut_off = set(random.sample(hosts, 3))
+            await asyncio.sleep(random.random())
+            for host in hosts:
+                self.check_host(gateways, host)
+
+    def check_host(self, gateways, host):
+        """Compare a host's records with the store's as of its revision."""
+        kind = RecordKind.server
+        confirmed = gateways.confirmations[host].find(kind)
+        held = {
+            record.name: record.revision
+            for record in gateways.caches[host].list_records(kind)
+        }
+        for record in gateways.store.history:
+            if record.kind is kind and record.revision <= confirmed.revision:
+                self.assertGreaterEqual(
+                    held.get(record.name, 0), record.revision
+                )
+
+    def test_confirmed_records_are_held(self):
+        for hosts_per_zone, seed in ((3, 1), (3, 2), (10, 3)):
+            with self.subTest(hosts_per_zone=hosts_per_zone, seed=seed):
+                self.run_fleet(hosts_per_zone, seed)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/gateway/virtual_gateways.py
+++ b/tests/gateway/virtual_gateways.py
@@ -185,6 +185,7 @@
         self.store = SimulatedStore(loop)
         self.fleet = VirtualFleet(zones, hosts_per_zone, loop)
         self.caches = {}
+        self.confirmations = {}
         self._coroutines = []
         for name, node in self.fleet.nodes.items():
             self._add(name, node, LoopClock(loop), drain_seconds)
@@ -203,7 +204,10 @@
             schedule,
             first_start=False,
         )
-        gossip = RecordGossip(node.board, cache, clock, random)
+        gossip = RecordGossip(
+            node.board, cache, clock, random, schedule.confirmations
+        )
+        self.confirmations[name] = schedule.confirmations
         self._coroutines += (gossip.run, *(watcher.run for watcher in watchers))
         self.caches[name] = cache
 
--- a/tests/mesh/virtual_fleet.py
+++ b/tests/mesh/virtual_fleet.py
@@ -2,11 +2,12 @@
 
 The hosts run their real gossip tasks. Their channels are replaced by ones that
 call the other host's service directly, and that can fall silent: calls on them
-then get no response and time out.
+then get no response and time out. So do calls of and to hosts that are cut off.
 """
 
 import asyncio
 import selectors
+from functools import partial
 
 from grpc import StatusCode
 from grpc.aio import AioRpcError, Metadata
@@ -68,16 +69,25 @@
 class FakeChannel:
     """Call the service of the host at an address, unless it is silent."""
 
-    def __init__(self, network, address):
+    def __init__(self, network, caller, address):
         self._network = network
+        self._caller = caller
         self._address = address
         self.silent = False
 
+    @property
+    def answers(self):
+        """Return whether calls reach the other host."""
+        callee = self._address.rpartition(':')[0]
+        return not self.silent and not self._network.is_cut(
+            self._caller, callee
+        )
+
     def unary_unary(self, path, **_serializers):
         method = path.rpartition('/')[2]
 
         async def call(request, **options):
-            if self.silent:
+            if not self.answers:
                 await asyncio.sleep(options['timeout'])
                 raise AioRpcError(
                     StatusCode.DEADLINE_EXCEEDED, Metadata(), Metadata()
@@ -99,6 +109,8 @@
 
     def __init__(self, zones, hosts_per_zone, loop):
         self.services = {}
+        # Hosts that are cut off from all others.
+        self.cut_off = set()
         self.channels = []
         self.nodes = {}
         seeds = tuple(f'{zone}-0:1' for zone in zones)
@@ -106,8 +118,14 @@
             for number in range(hosts_per_zone):
                 self._add(f'{zone}-{number}', zone, seeds, LoopClock(loop))
 
-    def open_channel(self, address, **_options):
-        channel = FakeChannel(self, address)
+    def is_cut(self, caller, callee):
+        """Return whether one of two hosts is cut off from the other."""
+        return caller != callee and not self.cut_off.isdisjoint(
+            (caller, callee)
+        )
+
+    def open_channel(self, caller, address):
+        channel = FakeChannel(self, caller, address)
         self.channels.append(channel)
         return channel
 
@@ -126,7 +144,8 @@
 
     def _add(self, name, zone, seeds, clock):
         settings = MeshSettings(name, zone, 'region', f'{name}:1', seeds)
-        node = MeshNode(settings, clock, channels=Channels(self.open_channel))
+        open_channel = partial(self.open_channel, name)
+        node = MeshNode(settings, clock, channels=Channels(open_channel))
         self.nodes[name] = node
         self.services[f'{name}:1'] = GossipService(node.gossip)
 
