Skip records in a watch only up to a confirmed revision

A server that had left could stay in use on a host (DRAIN), as the host's watch of the store began after a record from another host, half a second after that arrived. This took for granted that whoever published the record had published all earlier ones to everybody. A host that was lost, frozen or cut off between two pushes had not, and the record between was then read by nobody who skipped it.

A watch now begins after the revision up to which all records are confirmed to be here. The test of a record whose predecessors may be missing failed before.

--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Iterable
 from random import Random
 from typing import Final
@@ -21,7 +20,7 @@
     Confirmation,
     RecordConfirmations,
 )
-from monsoonwall.gateway.records import Record, RecordKind, RecordSource
+from monsoonwall.gateway.records import RecordKind, RecordSource
 from monsoonwall.gateway.settings import Bounds
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board
@@ -57,11 +56,6 @@
 # How often a host that does not watch looks whether it should.
 _STANDBY_SECONDS: Final = 0.25
 _MIN_PAUSE_SECONDS: Final = 0.01
-# Time after which the records before a received one are held by several hosts.
-_SPREAD_SECONDS: Final = 0.5
-# Kinds of which hosts write no records, so that whoever publishes one has also
-# read the earlier ones.
-_READ_ONLY_KINDS: Final = frozenset((RecordKind.catalogue, RecordKind.server))
 # Hosts without a fault hear of a confirmation sooner.
 _LOGGED_AGE_SECONDS: Final = 3.0
 # Delay between watch calls, so that one call returns several changes. Counts
@@ -251,8 +245,6 @@
         self._backoff = Backoff(_MIN_BACKOFF_SECONDS, _MAX_BACKOFF_SECONDS)
         self._revision: int | None = None
         self._era = 0
-        # Revisions received from other hosts, and when (monotonic seconds).
-        self._received: deque[tuple[float, int]] = deque()
         self._outages = OutageDetector(clock)
         # Since when the store has not responded to this host.
         self._failing_since: float | None = None
@@ -260,8 +252,6 @@
         self._turn_seconds = _TURN_SECONDS
         if kind is RecordKind.evacuation:
             self._turn_seconds *= _EVACUATION_TURN_FACTOR
-        if kind in _READ_ONLY_KINDS:
-            record_cache.subscribe(self._note_record)
 
     async def run(self) -> None:
         """List and watch until cancelled."""
@@ -289,22 +279,15 @@
             return now
         return None
 
-    def _note_record(self, record: Record) -> None:
-        is_later = record.revision > (self._revision or 0)
-        if record.kind is self.kind and record.era == self._era and is_later:
-            now = self._clock.read_monotonic()
-            self._received.append((now, record.revision))
-
-    def _skip_received(self) -> None:
-        """Continue after the records that the mesh has brought by now.
+    def _skip_confirmed(self) -> None:
+        """Continue after the records that have been confirmed meanwhile.
 
         A watch from an earlier revision would return them at once, which is a
         call more in each turn.
         """
-        spread_before = self._clock.read_monotonic() - _SPREAD_SECONDS
-        while self._received and self._received[0][0] <= spread_before:
-            revision = self._received.popleft()[1]
-            self._revision = max(self._revision or 0, revision)
+        confirmation = self._schedule.confirmations.find(self.kind)
+        if confirmation is not None and confirmation.era == self._era:
+            self._revision = max(self._revision or 0, confirmation.revision)
 
     def _update_out_of_turn(self) -> None:
         out_of_turn = (
@@ -333,7 +316,6 @@
                 kind=self.kind,
             )
             self._revision = None
-            self._received.clear()
         else:
             await self._back_off(failure, began)
 
@@ -358,7 +340,7 @@
         return None
 
     async def _watch(self, deadline: float) -> StoreFailure | None:
-        self._skip_received()
+        self._skip_confirmed()
         watched = await self._source.watch_records(
             self.kind, self._revision or 0, deadline
         )
@@ -368,7 +350,6 @@
         if changes.era != self._era:
             # Changes between the copy and the watch's revision are not in it.
             self._revision = None
-            self._received.clear()
             return None
         self._outages.record_response(changes.era)
         for record in changes.records:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -8,6 +8,7 @@
 from monsoonwall.gateway.duties import DutyCalls, DutyEnding
 from monsoonwall.mesh.board import Board, Entry, Fact
 from monsoonwall.mesh.peers import Peers
+from monsoonwall.mesh.watermarks import WatermarkTable
 from monsoonwall.platform.objects import (
     ObjectStore,
     StoredObject,
@@ -23,6 +24,7 @@
         self.entries = {} if shared is None else shared
         self.facts = {}
         self.queues = {}
+        self.watermarks = WatermarkTable()
         self.acknowledges = True
 
     def publish_entry(self, kind, key, payload):
@@ -47,6 +49,12 @@
     def read_facts(self, kind):
         return tuple(fact for fact in self.facts.values() if fact.kind == kind)
 
+    def advance_watermark(self, watermark):
+        self.watermarks.advance(watermark)
+
+    def find_watermark(self, key):
+        return self.watermarks.find(key)
+
     def subscribe(self, kind) -> 'Queue[Entry | Fact]':
         return self.queues.setdefault(kind, Queue())
 
--- a/tests/gateway/test_record_watchers.py
+++ b/tests/gateway/test_record_watchers.py
@@ -8,6 +8,7 @@
 
 from monsoonwall.clocks import ManualClock, SystemClock
 from monsoonwall.gateway.record_cache import RecordCache
+from monsoonwall.gateway.record_confirmations import Confirmation
 from monsoonwall.gateway.record_watchers import (
     RecordWatcher,
     WatchSchedule,
@@ -132,6 +133,68 @@
         self.assertEqual(servers, ())
 
 
+class ReceivingSource(ScriptedSource):
+    """Let the other hosts send records while the first watch goes on."""
+
+    def __init__(self, results, clock, receive):
+        super().__init__(results, clock)
+        self.receive = receive
+
+    async def watch_records(self, kind, after, deadline):
+        watched = await super().watch_records(kind, after, deadline)
+        self.receive()
+        return watched
+
+
+class ReceivedRecordsTest(unittest.IsolatedAsyncioTestCase):
+    """Receive a record of revision 9 while the store is watched from 7."""
+
+    async def find_next_watch(self, *, confirmed):
+        """Return from where the next watch begins."""
+        clock = ManualClock()
+        record_cache = make_record_cache(clock)
+        board = FakeBoard('edge-1')
+        schedule = WatchSchedule(board, NoPeers(), clock, 'edge-1', 'a')
+
+        def receive():
+            record_cache.adopt(make_server('i-1', 9))
+            clock.advance(1)
+            if confirmed:
+                now = clock.read_monotonic()
+                schedule.confirmations.confirm(
+                    Confirmation(RecordKind.server, 0, 9, now)
+                )
+
+        unchanged = Success(Listing((), 7))
+        source = ReceivingSource([unchanged, unchanged], clock, receive)
+        watcher = RecordWatcher(
+            RecordKind.server,
+            source,
+            record_cache,
+            clock,
+            Random(1),
+            schedule,
+            first_start=False,
+        )
+        watcher_task = asyncio.create_task(watcher.run())
+        await source.drained.wait()
+        watcher_task.cancel()
+        return source.calls[-1]
+
+    async def test_record_whose_predecessors_may_be_missing_is_not_skipped(
+        self,
+    ):
+        """What its only reader had published to nobody was never read."""
+        self.assertEqual(
+            await self.find_next_watch(confirmed=False), ('watch', 7)
+        )
+
+    async def test_confirmed_records_are_skipped(self):
+        self.assertEqual(
+            await self.find_next_watch(confirmed=True), ('watch', 9)
+        )
+
+
 class RecordWatcherTest(unittest.IsolatedAsyncioTestCase):
     """Run one watcher against a scripted store."""
 
