--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -77,6 +77,7 @@
         ports=None,
         output=subprocess.PIPE,
         extra='',
+        module='monsoonwall',
     ):
         ports = ports or {
             listener: find_free_port()
@@ -92,7 +93,7 @@
         )
         process = self.spawn(
             '-m',
-            'monsoonwall',
+            module,
             'gateway',
             output=output,
             MONSOONWALL_NODE_FILE=str(path),
