Connect to servers through another host where the own links are down

A host could send to servers itself or not at all: all its new connections timed out.

The host that has the request goes on to decide on it, to speak with the server and to close the connection, so that a sending is still one sending, and what holds for cancellation, deadlines, limits and moved runs holds as before. A response that ends with its tunnel is not taken for complete. In force where the settings have a port range.

--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -18,6 +18,7 @@
 from monsoonwall.gateway.records import RecordKind
 from monsoonwall.gateway.serving import ServingStack
 from monsoonwall.gateway.settings import GatewaySettings
+from monsoonwall.gateway.tunnel_service import TunnelService
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.settings import MeshSettings
 
@@ -58,11 +59,19 @@
         self._record_cache = RecordCache(
             adapters.codec, clock, settings.bounds.drain_seconds
         )
+        self._tunnels = TunnelService(
+            settings.tunnel_address,
+            self._record_cache,
+            self._mesh.board,
+            clock,
+            self._random,
+        )
         self._serving = ServingStack(
             settings,
             self._record_cache,
             self._mesh,
             adapters,
+            self._tunnels.connector,
             clock,
             self._random,
         )
@@ -107,6 +116,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._ignore_reload)
         self._ready_server.listen()
         self._serving.ingress.listen()
+        await self._tunnels.start()
         await self._mesh.start((), self._adapters.objects)
         background_tasks = [
             asyncio.create_task(task.run()) for task in self.background_tasks
@@ -138,6 +148,11 @@
         steps = (
             ('loads', self._serving.exchange_loads, _LOAD_INTERVAL_SECONDS),
             ('grants', self._serving.exchange_grants, _GRANTS_INTERVAL_SECONDS),
+            (
+                'tunnels',
+                self._tunnels.exchange,
+                _GRANTS_INTERVAL_SECONDS,
+            ),
             ('counts', self._serving.exchange_counts, _USAGE_INTERVAL_SECONDS),
             (
                 'rollouts',
@@ -165,12 +180,14 @@
             began + self._settings.bounds.grace_seconds - _EXIT_MARGIN_SECONDS
         )
         ingress.disable_keep_alive()
+        self._tunnels.withdraw()
         await self._duty_task.release()
         await asyncio.sleep(_BALANCER_DROP_SECONDS)
         ingress.close_idle()
         await self._mesh.stop()
         # A connection that was accepted just before may still send a request.
         await ingress.wait_idle(deadline - self._clock.read_monotonic())
+        await self._tunnels.stop(deadline - self._clock.read_monotonic())
         ingress.close_idle()
         _log.info('Shutdown done.', requests_left=ingress.active)
 
--- a/src/monsoonwall/gateway/pool.py
+++ b/src/monsoonwall/gateway/pool.py
@@ -9,8 +9,9 @@
 from monsoonwall.clocks import Clock
 from monsoonwall.gateway.dialect import ResponseInfo
 from monsoonwall.gateway.model import BackendServer
+from monsoonwall.gateway.server_connections import ServerConnector
 from monsoonwall.metrics import GATEWAY_CHANNELS
-from monsoonwall.transport.channels import Channel, open_channel
+from monsoonwall.transport.channels import Channel
 
 # The most idle channels to one server.
 _MAX_IDLE_CHANNELS: Final = 16
@@ -20,8 +21,8 @@
 # before the server closes them.
 _KEEP_ALIVE_FRACTION: Final = 0.8
 _SWEEP_SECONDS: Final = 1.0
-# Responses of servers are kilobytes long; a far longer one is not genuine.
-MAX_RESPONSE_BYTES: Final = 2_000_000
+# Tunnels are kept for a short time, since the host in between may stop.
+_TUNNEL_KEEP_ALIVE_SECONDS: Final = 1.0
 
 
 @dataclass(frozen=True)
@@ -33,8 +34,9 @@
 class ChannelPool:
     """Hold idle channels by server, and open new ones on demand."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, connector: ServerConnector) -> None:
         self._clock = clock
+        self._connector = connector
         self._idle: dict[str, deque[_IdleChannel]] = {}
 
     async def acquire(
@@ -52,9 +54,11 @@
             GATEWAY_CHANNELS.labels('reused').inc()
             return channel
         GATEWAY_CHANNELS.labels('opened').inc()
-        return await open_channel(
-            server.address, timeout_seconds, MAX_RESPONSE_BYTES
-        )
+        opened = await self._connector.open(server, timeout_seconds)
+        if opened.tunneled:
+            GATEWAY_CHANNELS.labels('tunneled').inc()
+            self._close_direct(server)
+        return opened
 
     def release(
         self,
@@ -79,6 +83,8 @@
             if keep_alive is None
             else keep_alive * _KEEP_ALIVE_FRACTION
         )
+        if channel.tunneled:
+            seconds = min(seconds, _TUNNEL_KEEP_ALIVE_SECONDS)
         idle = self._idle.setdefault(_make_key(server), deque())
         if len(idle) >= _MAX_IDLE_CHANNELS:
             channel.close()
@@ -95,6 +101,16 @@
             for idle_channel in self._idle.pop(key):
                 idle_channel.channel.close()
 
+    def _close_direct(self, server: BackendServer) -> None:
+        """Close direct idle channels, which hang if the links are down."""
+        kept: deque[_IdleChannel] = deque()
+        for idle_channel in self._idle.get(_make_key(server), deque()):
+            if idle_channel.channel.tunneled:
+                kept.append(idle_channel)
+            else:
+                idle_channel.channel.close()
+        self._idle[_make_key(server)] = kept
+
     def _take_idle(
         self, server: BackendServer, excluded: Collection[int]
     ) -> Channel | None:
--- a/src/monsoonwall/gateway/sending.py
+++ b/src/monsoonwall/gateway/sending.py
@@ -11,6 +11,7 @@
 from monsoonwall.gateway.dialect import Attempt, Dialect, ResponseInfo
 from monsoonwall.gateway.model import BackendServer
 from monsoonwall.gateway.pool import ChannelPool
+from monsoonwall.gateway.server_connections import ServerConnector
 from monsoonwall.pipeline.messages import AttemptEnding
 from monsoonwall.transport.channels import Channel, Message
 from monsoonwall.transport.messages import (
@@ -92,9 +93,13 @@
     """Send attempts over pooled channels."""
 
     def __init__(
-        self, dialect: Dialect, clock: Clock, observer: ResponseObserver
+        self,
+        dialect: Dialect,
+        clock: Clock,
+        observer: ResponseObserver,
+        connector: ServerConnector,
     ) -> None:
-        self.pool = ChannelPool(clock)
+        self.pool = ChannelPool(clock, connector)
         self._dialect = dialect
         self._clock = clock
         self._observer = observer
--- a/src/monsoonwall/gateway/serving.py
+++ b/src/monsoonwall/gateway/serving.py
@@ -16,7 +16,7 @@
 from monsoonwall.gateway.rollouts import RolloutController
 from monsoonwall.gateway.run_moves import RunMover
 from monsoonwall.gateway.screening import make_screener
-from monsoonwall.gateway.sending import Sender
+from monsoonwall.gateway.sending import Sender, ServerConnector
 from monsoonwall.gateway.server_selection import ServerSelector
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.gateway.signals import ServerSignals
@@ -32,6 +32,7 @@
         record_cache: RecordCache,
         mesh: MeshNode,
         adapters: GatewayAdapters,
+        connector: ServerConnector,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -66,7 +67,7 @@
             clock,
             random,
         )
-        sender = Sender(adapters.dialect, clock, self.signals)
+        sender = Sender(adapters.dialect, clock, self.signals, connector)
         self.pool = sender.pool
         self.run_mover = RunMover(
             record_cache,
--- a/src/monsoonwall/gateway/settings.py
+++ b/src/monsoonwall/gateway/settings.py
@@ -59,7 +59,8 @@
     Callers connect to ``front_address``. ``seeds`` are mesh addresses of other
     hosts. ``duties_address`` is empty if there are no duties. ``first_start``
     is true if the whole system starts for the first time. ``intake`` bounds
-    what the process holds of all its callers.
+    what the process holds of all its callers. Hosts carry each other's
+    connections to servers only if they have a ``tunnel_address``.
     """
 
     host_name: str
@@ -77,3 +78,4 @@
     first_start: bool = False
     bounds: Bounds = Bounds()
     intake: IntakeLimits = _DEFAULT_INTAKE
+    tunnel_address: str = ''
--- a/src/monsoonwall/platform/machine.py
+++ b/src/monsoonwall/platform/machine.py
@@ -74,6 +74,8 @@
     # True only if the whole system starts for the first time.
     bootstrap: bool = False
     seed_addrs: list[str] = field(default_factory=list)
+    # First and last port for connections between machines.
+    port_range: list[int] = field(default_factory=list)
     zones: dict[str, str] = field(default_factory=dict)
     bounds: _Bounds = field(default_factory=_Bounds)
     limits: _Limits = field(default_factory=_Limits)
@@ -126,9 +128,17 @@
         intake=make_intake_limits(
             machine.limits.memory_mb, machine.limits.max_fds
         ),
+        tunnel_address=_choose_tunnel_address(machine),
     )
 
 
+def _choose_tunnel_address(machine: _Machine) -> str:
+    if not machine.port_range:
+        return ''
+    host = machine.listen.control.rpartition(':')[0]
+    return f'{host}:{machine.port_range[0]}'
+
+
 def _make_bounds(section: _Bounds) -> Bounds:
     return Bounds(
         drain_seconds=section.drain_ms / _MILLISECONDS_PER_SECOND,
--- a/src/monsoonwall/transport/channels.py
+++ b/src/monsoonwall/transport/channels.py
@@ -93,7 +93,12 @@
         """Queue the ending of a response that was parsed to its end."""
         if self._framed:
             self.put_ending(ResponseEnding.complete)
-        elif self._stream.error or self._stream.closed_while_sending:
+        elif (
+            self._stream.error
+            or self._stream.closed_while_sending
+            # A host in between that was lost closes the connection as well.
+            or self._stream.tunneled
+        ):
             # A connection that is closed with a part of the request unread is
             # reset. Linux does not report a reset after the end of the stream.
             self.put_ending(ResponseEnding.broken)
@@ -114,13 +119,19 @@
 class Channel:
     """One connection, used for one exchange after the other.
 
-    ``serial`` is unique among the channels of this process.
+    ``serial`` is unique among the channels of this process. ``peer_address`` is
+    that of the other host if the channel is a tunnel.
     """
 
     def __init__(
-        self, address: str, stream: ChannelStream, max_bytes: int
+        self,
+        address: str,
+        stream: ChannelStream,
+        max_bytes: int,
+        peer_address: str = '',
     ) -> None:
         self.address = address
+        self.peer_address = peer_address or address
         self.serial = next(_serial_numbers)
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=_MAX_HEADER_BYTES, max_body_size=max_bytes
@@ -129,6 +140,11 @@
         self._receiver = _Receiver(stream)
         self._read_task: asyncio.Future[object] | None = None
 
+    @property
+    def tunneled(self) -> bool:
+        """Whether another host passes the bytes on."""
+        return self._stream.tunneled
+
     @property
     def is_usable(self) -> bool:
         """Whether the next request may be sent on this channel.
--- a/src/monsoonwall/transport/streams.py
+++ b/src/monsoonwall/transport/streams.py
@@ -24,11 +24,13 @@
     """TCP stream that reports bytes that were not read, or not received.
 
     ``closed_while_sending`` tells whether the stream was closed, by either
-    side, before the peer had received all that was written to it.
+    side, before the peer had received all that was written to it, and
+    ``tunneled`` whether another host passes the bytes on.
     """
 
     def __init__(self, *args: Any, **options: Any) -> None:
         self.closed_while_sending = False
+        self.tunneled = False
         super().__init__(*args, **options)
 
     def close(
--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -15,6 +15,7 @@
 zone = "zone-a"
 region = "north"
 seed_addrs = [{seeds}]
+port_range = [{tunnel}, {tunnel}]
 bootstrap = true
 new_field = ["ignored"]
 [zones]
@@ -83,6 +84,7 @@
             listener: find_free_port()
             for listener in ('front', 'ready', 'control')
         }
+        ports.setdefault('tunnel', find_free_port())
         seed_list = ','.join(f'"127.0.0.1:{port}"' for port in seeds)
         path = Path(self.folder.name) / f'{name}.toml'
         path.write_text(
--- a/tests/gateway/test_endless.py
+++ b/tests/gateway/test_endless.py
@@ -7,6 +7,7 @@
 from monsoonwall.gateway.dialect import ResponseInfo
 from monsoonwall.gateway.model import BackendServer
 from monsoonwall.gateway.pool import ChannelPool
+from monsoonwall.gateway.server_connections import DirectConnector
 from monsoonwall.transport.channels import call
 from monsoonwall.transport.messages import OutgoingRequest
 from tests.gateway.test_proxy import (
@@ -130,7 +131,7 @@
             raw.responses = [
                 [make_response(b'hello'), 0.1, EndlessBytes(LONG_LINE)]
             ]
-            pool = ChannelPool(SystemClock())
+            pool = ChannelPool(SystemClock(), DirectConnector())
             server = BackendServer('i-0', 'app', raw.address, 'a', '', 1)
             channel = await pool.acquire(server, 1)
             channel.send(OutgoingRequest('GET', '/', ()))
--- a/tests/gateway/test_proxy.py
+++ b/tests/gateway/test_proxy.py
@@ -24,6 +24,7 @@
 from monsoonwall.gateway.run_moves import RunMover
 from monsoonwall.gateway.screening import make_screener
 from monsoonwall.gateway.sending import Sender
+from monsoonwall.gateway.server_connections import DirectConnector
 from monsoonwall.gateway.server_selection import ServerSelector
 from monsoonwall.gateway.settings import Bounds, GatewaySettings
 from monsoonwall.gateway.signals import ServerSignals
@@ -154,7 +155,7 @@
                 self.screener,
                 self.server_selector,
                 RetryPolicy(Bounds(), clock, lambda: 1),
-                Sender(self.dialect, clock, self.signals),
+                Sender(self.dialect, clock, self.signals, DirectConnector()),
                 self.loads,
                 self.rollouts,
                 UsageCounter(board, clock, 'edge-1', Bounds()),
