Do not take a server that other hosts reach for a crashed one

A host whose own links refuse connections took each server for crashed under the requests that broke off there, and published that: such evidence convicts requests and parts of prompts, whose callers then get 503 everywhere.

A server whose address refuses the probe is now asked for through another host first, where hosts offer tunnels. The test of a server that other hosts reach uses the new interface; with direct connections alone, as before, the same server counts as crashed.

--- a/src/monsoonwall/gateway/crashes.py
+++ b/src/monsoonwall/gateway/crashes.py
@@ -9,6 +9,7 @@
 from monsoonwall.gateway.model import BackendServer
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.records import Record, RecordKind
+from monsoonwall.gateway.server_connections import ServerConnector
 from monsoonwall.logs import make_logger
 from monsoonwall.metrics import BROKEN_ATTEMPTS
 from monsoonwall.pipeline.screening import CrashCheck, SuspectScreening
@@ -41,7 +42,8 @@
 class CrashInspector:
     """Inspect broken attempts by probing the server or by its store entry.
 
-    A server has crashed if its machine refuses connections. A silent server
+    A server has crashed if its machine refuses connections, also those of
+    other hosts where these offer tunnels. A silent server
     may only be unreachable from here; it has crashed if its entry expires or
     is replaced by one of another incarnation.
     """
@@ -51,10 +53,12 @@
         record_cache: RecordCache,
         screening: SuspectScreening,
         clock: Clock,
+        connector: ServerConnector,
     ) -> None:
         self._record_cache = record_cache
         self._screening = screening
         self._clock = clock
+        self._connector = connector
         self._probes: dict[str, asyncio.Task[ProbeResult]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._pending: list[_PendingInspection] = []
@@ -112,13 +116,23 @@
         # Attempts that broke off together share one probe.
         probe = self._probes.get(server.name)
         if probe is None:
-            probe = asyncio.create_task(probe_address(server.address))
+            probe = asyncio.create_task(self._probe_paths(server))
             self._probes[server.name] = probe
             probe.add_done_callback(
                 lambda _: self._probes.pop(server.name, None)
             )
         return await asyncio.shield(probe)
 
+    async def _probe_paths(self, server: BackendServer) -> ProbeResult:
+        result = await probe_address(server.address)
+        # The own links may refuse connections to a running server.
+        if (
+            result is ProbeResult.refused
+            and await self._connector.is_reached_by_tunnel(server)
+        ):
+            return ProbeResult.accepts
+        return result
+
     def _report(self, crash_check: CrashCheck, result: ProbeResult) -> None:
         BROKEN_ATTEMPTS.labels(result).inc()
         _log.info(
--- a/src/monsoonwall/gateway/screening.py
+++ b/src/monsoonwall/gateway/screening.py
@@ -10,6 +10,7 @@
 from monsoonwall.gateway.model import BackendServer
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.request_state import RequestState
+from monsoonwall.gateway.server_connections import ServerConnector
 from monsoonwall.mesh.board import Board
 from monsoonwall.pipeline.messages import (
     AttemptEnding,
@@ -100,11 +101,16 @@
 
 
 def make_screener(
-    record_cache: RecordCache, board: Board, clock: Clock
+    record_cache: RecordCache,
+    board: Board,
+    clock: Clock,
+    connector: ServerConnector,
 ) -> Screener:
     """Return the screener of one gateway."""
     screening = SuspectScreening(board, clock)
-    return Screener(screening, CrashInspector(record_cache, screening, clock))
+    return Screener(
+        screening, CrashInspector(record_cache, screening, clock, connector)
+    )
 
 
 def _name_incarnation(
--- a/src/monsoonwall/gateway/server_connections.py
+++ b/src/monsoonwall/gateway/server_connections.py
@@ -30,6 +30,9 @@
 # Offers of a zone that hosts of other zones learn of.
 _MAX_MERGED_OFFERS: Final = 8
 
+_CHECK_SECONDS: Final = 0.5
+_TUNNELS_ONLY: Final = PathPlan(direct=False, tunnel=True, tunnel_first=True)
+
 _log = make_logger('servers')
 
 
@@ -42,6 +45,10 @@
     ) -> Channel:
         """Return a new channel; raises OSError if none opens."""
 
+    @abstractmethod
+    async def is_reached_by_tunnel(self, server: BackendServer) -> bool:
+        """Return whether another host connects to a server just now."""
+
 
 class DirectConnector(ServerConnector):
     """Connect to servers without a tunnel."""
@@ -54,6 +61,10 @@
             server.address, timeout_seconds, MAX_RESPONSE_BYTES
         )
 
+    async def is_reached_by_tunnel(self, server: BackendServer) -> bool:
+        """Return False, as there are no tunnels."""
+        return False
+
 
 class TunnelOffers:
     """Exchange offers of tunnels with the other hosts."""
@@ -125,6 +136,23 @@
         self._record(server, channel)
         return channel
 
+    async def is_reached_by_tunnel(self, server: BackendServer) -> bool:
+        """Return whether another host connects to a server just now."""
+        race = _Race(
+            server,
+            _CHECK_SECONDS,
+            self._list_offers(self._clock.read_monotonic()),
+        )
+        try:
+            async with asyncio.timeout(_CHECK_SECONDS):
+                channel = await race.run(_TUNNELS_ONLY)
+        except (TimeoutError, OSError):
+            return False
+        finally:
+            race.stop()
+        channel.close()
+        return True
+
     def exchange(self, servers: Sequence[BackendServer]) -> None:
         """Offer tunnels while this host reaches the servers itself."""
         now = self._clock.read_monotonic()
--- a/src/monsoonwall/gateway/serving.py
+++ b/src/monsoonwall/gateway/serving.py
@@ -48,7 +48,9 @@
             mesh.board, BootClock(), settings.host_name, settings.bounds
         )
         self.loads = LoadTracker(mesh.board, clock)
-        self.screener = make_screener(record_cache, mesh.board, clock)
+        self.screener = make_screener(
+            record_cache, mesh.board, clock, connector
+        )
         self.rollouts = RolloutController(
             record_cache, mesh.board, clock, settings.bounds
         )
--- a/tests/gateway/test_partitioned_hosts.py
+++ b/tests/gateway/test_partitioned_hosts.py
@@ -1,15 +1,25 @@
 """Test gateways that cannot reach the servers while others can."""
 
+import asyncio
 import time
 import unittest
+from dataclasses import replace
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
+from unittest.mock import Mock
 
+from monsoonwall.clocks import ManualClock
+from monsoonwall.gateway.crashes import CrashInspector
+from monsoonwall.gateway.server_connections import DirectConnector
 from tests.gateway.processes import GatewayProcessCase
 from tests.gateway.test_gateway_processes import CONFIGURATION, AppServer
+from tests.gateway.test_record_cache import make_record_cache, make_server
 from tests.standins.deployment import wait_until
+from tests.standins.ports import find_free_port
 
 REQUESTS = 9
+# Time for the second probe of a server.
+INSPECTION_SECONDS = 0.6
 # Callers of the partitioned host get as many first responses as the rule asks.
 MIN_SERVED_RATIO = 2 / 3
 
@@ -70,5 +80,37 @@
         self.assertEqual(self.count_served(), REQUESTS)
 
 
+class ReachedByTunnel(DirectConnector):
+    """Other hosts reach all servers."""
+
+    async def is_reached_by_tunnel(self, server):
+        return True
+
+
+class CrashInspectionTest(unittest.IsolatedAsyncioTestCase):
+    """Inspect a server whose address refuses connections of this host."""
+
+    async def find_crashes(self, connector):
+        clock = ManualClock()
+        record_cache = make_record_cache(clock)
+        record_cache.adopt(make_server('i-1', 7))
+        server = replace(
+            record_cache.find_server('i-1'),
+            address=f'127.0.0.1:{find_free_port()}',
+        )
+        screening = Mock()
+        inspector = CrashInspector(record_cache, screening, clock, connector)
+        await inspector.inspect(Mock(), server)
+        await asyncio.sleep(INSPECTION_SECONDS)
+        return [call.args[1] for call in screening.finish_check.mock_calls]
+
+    async def test_server_that_other_hosts_reach_has_not_crashed(self):
+        """Links that refused connections made requests seem to crash it."""
+        self.assertEqual(await self.find_crashes(ReachedByTunnel()), [False])
+
+    async def test_server_that_refuses_all_hosts_has_crashed(self):
+        self.assertEqual(await self.find_crashes(DirectConnector()), [True])
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/gateway/test_proxy.py
+++ b/tests/gateway/test_proxy.py
@@ -148,7 +148,9 @@
                 board, clock, replace(SETTINGS, first_start=True), lambda: 1
             ),
         )
-        self.screener = make_screener(self.record_cache, board, clock)
+        self.screener = make_screener(
+            self.record_cache, board, clock, DirectConnector()
+        )
         self.handler = ProxyHandler(
             RequestDependencies(
                 self.admission_check,
