Spare servers that fail when they reject many requests

Servers of a service may say that they are brittle (Server-Brittle): one that rejects more than the number they name in a second, of all hosts together, fails (LIMIT). Hosts went on sending to servers that rejected: four requests were rejected eight times by each of two servers in a test.

While a service says so, a host leaves a server that has rejected a request of it alone for as many seconds as there are hosts for each rejection a second, so that all of them stay within the number without agreeing on anything, and sends to none whose known requests take all its slots. The test of rejections failed before (eight arrivals each, one now).

--- a/src/monsoonwall/gateway/dialect.py
+++ b/src/monsoonwall/gateway/dialect.py
@@ -52,7 +52,9 @@
     ``backoff_seconds`` how long this host must send it no requests,
     ``leaving`` whether the server is shutting down, ``requests_per_second``
     how many requests it accepts from all hosts together, None if it names no
-    limit, and ``cold_seconds`` how long it stays cold, None if it does not say.
+    limit, ``cold_seconds`` how long it stays cold, and
+    ``rejections_per_second`` how many requests it can reject without failing,
+    None if it does not say.
     """
 
     attempt_id: str
@@ -64,6 +66,7 @@
     leaving: bool = False
     requests_per_second: float | None = None
     cold_seconds: float | None = None
+    rejections_per_second: float | None = None
 
 
 class Dialect(ABC):
--- a/src/monsoonwall/gateway/loads.py
+++ b/src/monsoonwall/gateway/loads.py
@@ -14,6 +14,7 @@
 
 from monsoonwall.clocks import Clock
 from monsoonwall.decisions.admission import RateMeter
+from monsoonwall.decisions.brittle_servers import has_room
 from monsoonwall.decisions.health import ServerHealth
 from monsoonwall.decisions.placement import Candidate
 from monsoonwall.decoding import DECODE_ERRORS
@@ -128,6 +129,7 @@
         self._peer_demands: Counter[str] = Counter()
         self._published: bytes = b''
         self._received: tuple[bytes, ...] = ()
+        self._brittle_services: set[str] = set()
         board.declare_merge(LOAD_KIND, merge_loads)
 
     def find_health(self, server: BackendServer) -> ServerHealth:
@@ -237,6 +239,19 @@
         )
         return max(tokens / rate, running)
 
+    def record_brittleness(self, service: str, *, brittle: bool) -> None:
+        """Record whether the servers of a service cannot reject much."""
+        if brittle:
+            self._brittle_services.add(service)
+        else:
+            self._brittle_services.discard(service)
+
+    def has_room(self, server: BackendServer) -> bool:
+        """Return whether a server may get a request now, if it is brittle."""
+        return server.service not in self._brittle_services or has_room(
+            self._count_running(server), server.slots
+        )
+
     def is_busy(self, server: BackendServer) -> bool:
         """Return whether any host has attempts under way at a server."""
         return bool(
--- a/src/monsoonwall/gateway/server_selection.py
+++ b/src/monsoonwall/gateway/server_selection.py
@@ -150,6 +150,7 @@
             for name, server in servers.items()
             if not self._loads.find_health(server).is_backing_off(now)
             and self._limits.can_send(server)
+            and self._loads.has_room(server)
         }
 
     def _refuse_without_server(
--- a/src/monsoonwall/gateway/signals.py
+++ b/src/monsoonwall/gateway/signals.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from monsoonwall.clocks import Clock
+from monsoonwall.decisions.brittle_servers import find_backoff_seconds
 from monsoonwall.gateway.cold_servers import ColdServers
 from monsoonwall.gateway.departures import Departures
 from monsoonwall.gateway.dialect import ResponseInfo
@@ -35,6 +36,7 @@
         self.limits = ServerLimits(
             board, clock, fleet, self.cold_servers.find_limit
         )
+        self._fleet = fleet
         self._clock = clock
 
     async def run(self) -> None:
@@ -57,6 +59,7 @@
                 server=server.name,
                 seconds=response_info.backoff_seconds,
             )
+        self._observe_brittleness(server, response_info)
         if response_info.cold_seconds is not None:
             self.cold_servers.record_announcement(
                 server, response_info.cold_seconds
@@ -66,6 +69,27 @@
         if limit is not None or response_info.signed:
             self.limits.record_response(server, limit, sent_at)
 
+    def _observe_brittleness(
+        self, server: BackendServer, response_info: ResponseInfo
+    ) -> None:
+        rejections = response_info.rejections_per_second
+        # A rejection without a signature may come from another process.
+        if rejections is not None or response_info.signed:
+            self._loads.record_brittleness(
+                server.service, brittle=rejections is not None
+            )
+        if rejections is None or not response_info.not_executed:
+            return
+        seconds = find_backoff_seconds(self._fleet.count_hosts(), rejections)
+        self._loads.find_health(server).record_backoff(
+            self._clock.read_monotonic() + seconds
+        )
+        _log.info(
+            'Brittle server rejected a request.',
+            server=server.name,
+            seconds=seconds,
+        )
+
     def observe_unreachable(self, server: BackendServer) -> None:
         """Expect that a server that cannot be reached returns cold."""
         self.cold_servers.assume_cold(server)
--- a/src/monsoonwall/platform/dialect.py
+++ b/src/monsoonwall/platform/dialect.py
@@ -56,6 +56,7 @@
 _LEAVING: Final = 'Server-Leaving'
 _LEAVING_VALUE: Final = '1'
 _LIMIT: Final = 'Server-Limit'
+_BRITTLE: Final = 'Server-Brittle'
 _COLD: Final = 'X-Monsoonwall-Cold-Ms'
 
 _HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -209,6 +210,7 @@
             leaving=headers.get(_LEAVING, '').strip() == _LEAVING_VALUE,
             requests_per_second=_read_number(headers, _LIMIT),
             cold_seconds=_read_cold_seconds(headers),
+            rejections_per_second=_read_number(headers, _BRITTLE),
         )
 
     def write_response_headers(self, head: Head) -> HTTPHeaders:
--- a/tests/gateway/test_signals.py
+++ b/tests/gateway/test_signals.py
@@ -30,6 +30,18 @@
     )
 
 
+def make_brittle_response(rejections, *, rejected=False):
+    """Return a response of a server that can reject so many a second."""
+    brittle = f'Server-Brittle: {rejections}\r\n'
+    if not rejected:
+        return make_response(extra=brittle)
+    return make_response(
+        status=503,
+        signed=False,
+        extra=f'X-Monsoonwall-Not-Executed: 1\r\n{brittle}',
+    )
+
+
 class LeavingTest(ProxyHandlerCase):
     """Avoid servers that announce a shutdown before the store reports it."""
 
@@ -75,6 +87,56 @@
         self.assertEqual((await streaming_task).status, 200)
 
 
+class BrittleServersTest(ProxyHandlerCase):
+    """Spare servers that fail when they reject many requests."""
+
+    async def send_all(self, count):
+        return [
+            (await self.send_request('/look/x')).status for _ in range(count)
+        ]
+
+    async def test_brittle_servers_that_rejected_a_request_are_left_alone(self):
+        """Each of the next requests was sent to them again."""
+        self.configure()
+        for server in self.servers:
+            server.responses = [
+                [make_brittle_response(1 / 0.5, rejected=True)]
+                for _ in range(9)
+            ]
+        self.assertEqual(set(await self.send_all(4)), {503})
+        self.assertEqual(self.count_arrivals(), [1, 1])
+        await asyncio.sleep(0.55)
+        await self.send_all(1)
+        self.assertEqual(self.count_arrivals(), [2, 2])
+
+    async def test_no_request_waits_for_a_slot_of_a_brittle_server(self):
+        self.configure()
+        primary, secondary = self.servers
+        primary.responses = [[make_brittle_response(1)]]
+        secondary.responses = [[make_brittle_response(1)] for _ in range(9)]
+        await self.send_all(1)
+        server = self.record_cache.find_server('i-0')
+        candidate = self.loads.make_candidate(server, None, 1, True, False)
+        for _ in range(server.slots):
+            self.loads.begin(server, candidate, 1)
+        self.assertFalse(self.loads.has_room(server))
+        self.assertEqual(set(await self.send_all(2)), {200})
+        self.assertEqual(len(primary.requests), 1)
+
+    async def test_server_that_is_no_longer_brittle_may_queue_requests(self):
+        self.configure()
+        self.servers[0].responses = [
+            [make_brittle_response(1)],
+            [make_response()],
+        ]
+        await self.send_all(2)
+        server = self.record_cache.find_server('i-0')
+        candidate = self.loads.make_candidate(server, None, 1, True, False)
+        for _ in range(server.slots):
+            self.loads.begin(server, candidate, 1)
+        self.assertTrue(self.loads.has_room(server))
+
+
 class BackoffTest(ProxyHandlerCase):
     """Avoid full servers for the time that they state."""
 
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -197,6 +197,7 @@
             'Retry-After',
             'Server-Limit',
             'Server-Leaving',
+            'Server-Brittle',
             'X-Monsoonwall-Server-Load',
             'X-Monsoonwall-Attempt-Id',
         )
