Publish records again if the task that does it has failed

By reading: a batch of records was lost when the publishing task failed and was started again; with confirmations, hosts would then skip these records. The batch is kept until it is published. The test failed before.

--- a/src/monsoonwall/gateway/record_gossip.py
+++ b/src/monsoonwall/gateway/record_gossip.py
@@ -85,6 +85,9 @@
         self._random = random
         self._received = board.subscribe(RECORD_KIND)
         self._pending: asyncio.Queue[Record] = asyncio.Queue()
+        # Kept if the task fails and is started again: what is confirmed to
+        # other hosts must have been published.
+        self._unpublished: list[Record] = []
         record_cache.subscribe(self._pending.put_nowait)
         self._confirmations = confirmations or RecordConfirmations(board, clock)
         record_cache.subscribe(self._confirmations.hold)
@@ -113,16 +116,18 @@
 
     async def _publish_records(self) -> None:
         while True:
-            records = [await self._pending.get()]
+            if not self._unpublished:
+                self._unpublished.append(await self._pending.get())
             await asyncio.sleep(_JITTER_SECONDS * self._random.random())
             while not self._pending.empty():
-                records.append(self._pending.get_nowait())
+                self._unpublished.append(self._pending.get_nowait())
             published = {
                 fact.key: fact.payload
                 for fact in self._board.read_facts(RECORD_KIND)
             }
-            for record in records:
+            for record in self._unpublished:
                 self._publish(record, published)
+            self._unpublished.clear()
             self._confirmations.release()
 
     def _publish(self, record: Record, published: dict[str, bytes]) -> None:
--- a/tests/gateway/test_record_confirmations.py
+++ b/tests/gateway/test_record_confirmations.py
@@ -2,9 +2,18 @@
 
 import asyncio
 import unittest
+from contextlib import suppress
 from random import Random
 
+from monsoonwall.clocks import ManualClock
+from monsoonwall.gateway.record_confirmations import (
+    Confirmation,
+    RecordConfirmations,
+)
+from monsoonwall.gateway.record_gossip import RECORD_KIND, RecordGossip
 from monsoonwall.gateway.records import RecordKind
+from tests.gateway.fakes import FakeBoard
+from tests.gateway.test_record_cache import make_record_cache, make_server
 from tests.gateway.virtual_gateways import VirtualGateways
 from tests.mesh.virtual_fleet import VirtualLoop, close_loop
 
@@ -13,6 +22,8 @@
 DRAIN_SECONDS = 3.0
 SERVERS = 5
 STEPS = 60
+# Longer than the delay before a record is published.
+PUBLISHING_SECONDS = 0.6
 
 
 class RecordConfirmationsTest(unittest.TestCase):
@@ -62,5 +73,41 @@
                 self.run_fleet(hosts_per_zone, seed)
 
 
+class FailingBoard(FakeBoard):
+    """Fail to publish the first fact."""
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.fails = True
+
+    def publish_fact(self, fact):
+        if self.fails:
+            self.fails = False
+            raise OSError('not published')
+        super().publish_fact(fact)
+
+
+class FailedPublishingTest(unittest.IsolatedAsyncioTestCase):
+    """Publish a record by a task that fails and is started again."""
+
+    async def test_record_is_published_before_it_is_confirmed(self):
+        """The record was lost, and later ones were confirmed."""
+        clock = ManualClock()
+        board = FailingBoard('edge-1')
+        record_cache = make_record_cache(clock)
+        confirmations = RecordConfirmations(board, clock)
+        gossip = RecordGossip(
+            board, record_cache, clock, Random(1), confirmations
+        )
+        record_cache.adopt(make_server('i-1', 7))
+        confirmations.confirm(Confirmation(RecordKind.server, 0, 7, 0))
+        for _ in range(2):
+            with suppress(ExceptionGroup, TimeoutError):
+                async with asyncio.timeout(PUBLISHING_SECONDS):
+                    await gossip.run()
+        self.assertIn((RECORD_KIND, 'server/i-1'), board.facts)
+        self.assertEqual(len(board.watermarks.list_all()), 1)
+
+
 if __name__ == '__main__':
     unittest.main()
