Skip offers of tunnels without a valid address, and start without a free port

By reading: an offer whose port is no number would have ended the request that used it without a response, and a port that is taken the whole process. Such an offer is skipped, and a host that cannot accept tunnels offers none.

--- a/src/monsoonwall/gateway/server_connections.py
+++ b/src/monsoonwall/gateway/server_connections.py
@@ -11,7 +11,7 @@
 
 from monsoonwall.clocks import Clock
 from monsoonwall.decisions.server_paths import PathPlan, ServerPaths
-from monsoonwall.decoding import DECODE_ERRORS
+from monsoonwall.decoding import DECODE_ERRORS, is_port
 from monsoonwall.gateway.model import BackendServer
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board
@@ -303,4 +303,8 @@
         pairs = msgpack.decode(payload, type=list[tuple[str, str]])
     except DECODE_ERRORS:
         return ()
-    return tuple(TunnelOffer(address, token) for address, token in pairs)
+    return tuple(
+        TunnelOffer(address, token)
+        for address, token in pairs
+        if is_port(address.rpartition(':')[2]) and token.isalnum()
+    )
--- a/src/monsoonwall/gateway/tunnel_service.py
+++ b/src/monsoonwall/gateway/tunnel_service.py
@@ -13,11 +13,14 @@
     TunnelingConnector,
     TunnelOffers,
 )
+from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board
 from monsoonwall.transport.tunnels import TunnelOffer, TunnelServer
 
 _TOKEN_BYTES: Final = 12
 
+_log = make_logger('servers')
+
 
 class TunnelService:
     """Offer tunnels through this host, and use those of the others.
@@ -47,9 +50,14 @@
             self.connector = self._tunneling
 
     async def start(self) -> None:
-        """Accept tunnels of other hosts."""
-        if self._server is not None:
+        """Accept tunnels of other hosts, if the address is free."""
+        if self._server is None:
+            return
+        try:
             await self._server.start()
+        except OSError as error:
+            self._stopping = True
+            _log.error('Cannot accept tunnels.', reason=str(error))
 
     def exchange(self) -> None:
         """Offer tunnels, or withdraw the offer."""
--- a/tests/gateway/test_partitioned_hosts.py
+++ b/tests/gateway/test_partitioned_hosts.py
@@ -1,16 +1,28 @@
 """Test gateways that cannot reach the servers while others can."""
 
 import asyncio
+import socket
 import time
 import unittest
 from dataclasses import replace
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
+from random import Random
 from unittest.mock import Mock
 
+from msgspec import msgpack
+
 from monsoonwall.clocks import ManualClock
 from monsoonwall.gateway.crashes import CrashInspector
-from monsoonwall.gateway.server_connections import DirectConnector
+from monsoonwall.gateway.server_connections import (
+    TUNNEL_KIND,
+    DirectConnector,
+    TunnelOffers,
+    merge_offers,
+)
+from monsoonwall.gateway.tunnel_service import TunnelService
+from monsoonwall.transport.tunnels import TunnelOffer
+from tests.gateway.fakes import FakeBoard
 from tests.gateway.processes import GatewayProcessCase
 from tests.gateway.test_gateway_processes import CONFIGURATION, AppServer
 from tests.gateway.test_record_cache import make_record_cache, make_server
@@ -80,6 +92,49 @@
         self.assertEqual(self.count_served(), REQUESTS)
 
 
+class TunnelOffersTest(unittest.IsolatedAsyncioTestCase):
+    """Read the offers of other hosts, and offer tunnels."""
+
+    def setUp(self):
+        self.entries = {}
+        self.board = FakeBoard('edge-1', self.entries)
+        self.own = TunnelOffer('127.0.0.1:1', 'own')
+
+    def offer(self, name, payload):
+        FakeBoard(name, self.entries).publish_entry(TUNNEL_KIND, '', payload)
+
+    async def test_odd_offers_are_skipped(self):
+        """A port that is no number ended the request that used the offer."""
+        pairs = [('10.0.0.1', 'a'), ('10.0.0.1:x', 'a'), ('10.0.0.1:1', 'a b')]
+        self.offer('edge-2', msgpack.encode([*pairs, ('10.0.0.2:2', 'a')]))
+        self.offer('edge-3', b'')
+        self.offer('edge-4', msgpack.encode('none'))
+        offers = TunnelOffers(self.board, self.own, Random(1))
+        self.assertEqual(offers.list_others(), [TunnelOffer('10.0.0.2:2', 'a')])
+
+    async def test_host_whose_port_is_taken_offers_no_tunnels(self):
+        clock = ManualClock()
+        with socket.create_server(('127.0.0.1', 0)) as taken:
+            service = TunnelService(
+                f'127.0.0.1:{taken.getsockname()[1]}',
+                make_record_cache(clock),
+                self.board,
+                clock,
+                Random(1),
+            )
+            await service.start()
+        service.exchange()
+        self.assertEqual(self.board.read_entries(TUNNEL_KIND), ())
+
+    def test_zones_offer_a_bounded_number_of_hosts(self):
+        payloads = [
+            msgpack.encode([(f'10.0.0.{number}:1', f't{number}')])
+            for number in range(30)
+        ]
+        merged = msgpack.decode(merge_offers([*payloads, b'odd']))
+        self.assertEqual(len(merged), 8)
+
+
 class ReachedByTunnel(DirectConnector):
     """Other hosts reach all servers."""
 
