--- a/src/monsoonwall/gateway/server_connections.py
+++ b/src/monsoonwall/gateway/server_connections.py
@@ -29,7 +29,6 @@
 _FAILED_OFFER_SECONDS: Final = 2.0
 # Offers of a zone that hosts of other zones learn of.
 _MAX_MERGED_OFFERS: Final = 8
-
 _CHECK_SECONDS: Final = 0.5
 _TUNNELS_ONLY: Final = PathPlan(direct=False, tunnel=True, tunnel_first=True)
 
@@ -114,12 +113,10 @@
         self, server: BackendServer, timeout_seconds: float
     ) -> Channel:
         """Return a new channel; raises OSError if none opens."""
-        now = self._clock.read_monotonic()
-        plan = self.paths.plan(server.address, now)
-        offers = self._list_offers(now) if plan.tunnel else []
-        if not offers:
+        plan = self.paths.plan(server.address, self._clock.read_monotonic())
+        if not plan.tunnel:
             return await DirectConnector().open(server, timeout_seconds)
-        race = _Race(server, timeout_seconds, offers)
+        race = _Race(server, timeout_seconds, self._iterate_offers())
         try:
             async with asyncio.timeout(timeout_seconds):
                 channel = await race.run(plan)
@@ -138,11 +135,7 @@
 
     async def is_reached_by_tunnel(self, server: BackendServer) -> bool:
         """Return whether another host connects to a server just now."""
-        race = _Race(
-            server,
-            _CHECK_SECONDS,
-            self._list_offers(self._clock.read_monotonic()),
-        )
+        race = _Race(server, _CHECK_SECONDS, self._iterate_offers())
         try:
             async with asyncio.timeout(_CHECK_SECONDS):
                 channel = await race.run(_TUNNELS_ONLY)
@@ -173,14 +166,16 @@
         until = self._clock.read_monotonic() + _FAILED_OFFER_SECONDS
         self._failed_offers.update(dict.fromkeys(offers, until))
 
-    def _list_offers(self, now: float) -> list[TunnelOffer]:
+    def _iterate_offers(self) -> Iterator[TunnelOffer]:
+        """Yield the offers to try; they are listed when the first is needed."""
+        now = self._clock.read_monotonic()
         offers = self._offers.list_others()
         usable = [
             offer
             for offer in offers
             if self._failed_offers.get(offer, now) <= now
         ]
-        return (usable or offers)[:_MAX_TUNNELS]
+        yield from (usable or offers)[:_MAX_TUNNELS]
 
     def _record(self, server: BackendServer, channel: Channel) -> None:
         if not channel.tunneled:
@@ -203,12 +198,12 @@
         self,
         server: BackendServer,
         timeout_seconds: float,
-        offers: Sequence[TunnelOffer],
+        offers: Iterator[TunnelOffer],
     ) -> None:
         self.failed_offers: list[TunnelOffer] = []
         self._server = server
         self._timeout_seconds = timeout_seconds
-        self._offers: Iterator[TunnelOffer] = iter(offers)
+        self._offers = offers
         self._running: dict[Task[Channel], TunnelOffer | None] = {}
         self._error: BaseException = ConnectionError('no path')
 
