End a limit of the soak's servers only by the fault that set it

The check was wrong. When limits of two faults overlapped at a server, the end of the earlier one removed the later one, which counted as named up to its own end; the hosts' logs show that the server named none any more (805: 1.3 to 3 s after the later limit began, of 5 s).

A limit now ends when its own fault ends or another one replaces it, and is recorded for just the time in which the server named it, so that each limit that is named is checked as before.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -56,6 +56,8 @@
         self.configuration_version = 0
         self.probe_key = 0
         self.limits = []
+        # The fault that set the limit of each server, and when.
+        self.limit_faults = {}
 
     def run_plan(self, seed, seconds, only=(), logs=None):
         """Run the plan of a seed; return the plan and the violations found."""
@@ -224,13 +226,22 @@
         up = self.servers.list_servers_up()
         limited = up[: 1 + int(fault.target * len(up))]
         rate = LIMITS[int(fault.target * len(LIMITS))]
-        begin = time.monotonic()
         for name in limited:
+            self.end_limit(name)
+            self.limit_faults[name] = fault, time.monotonic()
             self.servers.limits[name] = rate
         time.sleep(fault.seconds)
-        end = time.monotonic()
         for name in limited:
-            self.servers.limits.pop(name, None)
+            # A later fault may have given the server another limit.
+            if self.limit_faults.get(name, (None,))[0] is fault:
+                self.end_limit(name)
+
+    def end_limit(self, name):
+        """Let a server name no limit any longer; record the last one."""
+        rate = self.servers.limits.pop(name, None)
+        _, begin = self.limit_faults.pop(name, (None, 0))
+        if rate is not None:
+            end = time.monotonic()
             self.limits.append(NamedLimit(name, rate, begin, end))
 
     def make_probe_key(self):
