--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -27,6 +27,7 @@
         'moves',
         'loads',
         'grants',
+        'tunnels',
         'counts',
         'rollouts',
     )
