Remove an unused reading of ages, and name the new parts in the usual terms

Read as a newcomer, behaviour and assertions unchanged: nothing read the age of the confirmations any more, nor the clock kept for it; two modules had a _MAX_TUNNELS of different meaning; the flag of the tunnel service says what it is for.

--- a/src/monsoonwall/decisions/record_age.py
+++ b/src/monsoonwall/decisions/record_age.py
@@ -6,9 +6,6 @@
 a server that has left, nor served by an old configuration, for longer than a
 bound. So a host reads the store when its records have not been confirmed for
 that time, less what the reading takes.
-
-Without faults confirmations arrive sooner, but for a few in a thousand in wide
-fleets.
 """
 
 from typing import Final
--- a/src/monsoonwall/gateway/record_confirmations.py
+++ b/src/monsoonwall/gateway/record_confirmations.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass
 from typing import Final
 
-from monsoonwall.clocks import Clock
 from monsoonwall.gateway.records import Record, RecordKind
 from monsoonwall.mesh.board import Board, Watermark
 
@@ -35,9 +34,8 @@
 class RecordConfirmations:
     """Hold the latest confirmation of each kind of record."""
 
-    def __init__(self, board: Board, clock: Clock) -> None:
+    def __init__(self, board: Board) -> None:
         self._board = board
-        self._clock = clock
         self._is_publishing = False
         self._held: list[Confirmation] = []
         # The latest confirmation by the store itself, held or not.
@@ -82,10 +80,3 @@
         if own is not None and own.confirmed_at > found.confirmed_at:
             return own
         return found
-
-    def read_age(self, kind: RecordKind) -> float:
-        """Return how many seconds ago the records were last confirmed."""
-        found = self.find(kind)
-        if found is None:
-            return float('inf')
-        return self._clock.read_monotonic() - found.confirmed_at
--- a/src/monsoonwall/gateway/record_gossip.py
+++ b/src/monsoonwall/gateway/record_gossip.py
@@ -89,7 +89,7 @@
         # other hosts must have been published.
         self._unpublished: list[Record] = []
         record_cache.subscribe(self._pending.put_nowait)
-        self._confirmations = confirmations or RecordConfirmations(board, clock)
+        self._confirmations = confirmations or RecordConfirmations(board)
         record_cache.subscribe(self._confirmations.hold)
 
     async def run(self) -> None:
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -92,7 +92,7 @@
         self._steady_clock = SteadyWallClock(clock)
         self._own_name = own_name
         self._zone = zone
-        self.confirmations = RecordConfirmations(board, clock)
+        self.confirmations = RecordConfirmations(board)
         # Kinds that callers may depend on for a bounded time after a change.
         self._bound_seconds = {
             RecordKind.catalogue: bounds.configuration_seconds,
--- a/src/monsoonwall/gateway/server_connections.py
+++ b/src/monsoonwall/gateway/server_connections.py
@@ -24,11 +24,12 @@
 # A live server accepts a connection within milliseconds.
 _DIRECT_SECONDS: Final = 0.12
 _NEXT_TUNNEL_SECONDS: Final = 0.1
-_MAX_TUNNELS: Final = 3
+_MAX_TRIED_OFFERS: Final = 3
 # A host through which no tunnel could be opened is not asked for this long.
 _FAILED_OFFER_SECONDS: Final = 2.0
 # Offers of a zone that hosts of other zones learn of.
 _MAX_MERGED_OFFERS: Final = 8
+# Timeout for asking whether other hosts reach a server.
 _CHECK_SECONDS: Final = 0.5
 _TUNNELS_ONLY: Final = PathPlan(direct=False, tunnel=True, tunnel_first=True)
 
@@ -175,7 +176,7 @@
             for offer in offers
             if self._failed_offers.get(offer, now) <= now
         ]
-        yield from (usable or offers)[:_MAX_TUNNELS]
+        yield from (usable or offers)[:_MAX_TRIED_OFFERS]
 
     def _record(self, server: BackendServer, channel: Channel) -> None:
         if not channel.tunneled:
--- a/src/monsoonwall/gateway/tunnel_service.py
+++ b/src/monsoonwall/gateway/tunnel_service.py
@@ -40,7 +40,7 @@
         self.connector: ServerConnector = DirectConnector()
         self._tunneling: TunnelingConnector | None = None
         self._server: TunnelServer | None = None
-        self._stopping = False
+        self._offering = True
         if address:
             offer = TunnelOffer(address, secrets.token_hex(_TOKEN_BYTES))
             self._server = TunnelServer(offer, self._is_known)
@@ -56,17 +56,17 @@
         try:
             await self._server.start()
         except OSError as error:
-            self._stopping = True
+            self._offering = False
             _log.error('Cannot accept tunnels.', reason=str(error))
 
     def exchange(self) -> None:
         """Offer tunnels, or withdraw the offer."""
-        if self._tunneling is not None and not self._stopping:
+        if self._tunneling is not None and self._offering:
             self._tunneling.exchange(self._record_cache.list_all_servers())
 
     def withdraw(self) -> None:
         """Withdraw the offer, as this host stops."""
-        self._stopping = True
+        self._offering = False
         if self._tunneling is not None:
             self._tunneling.withdraw()
 
--- a/tests/gateway/test_record_confirmations.py
+++ b/tests/gateway/test_record_confirmations.py
@@ -95,7 +95,7 @@
         clock = ManualClock()
         board = FailingBoard('edge-1')
         record_cache = make_record_cache(clock)
-        confirmations = RecordConfirmations(board, clock)
+        confirmations = RecordConfirmations(board)
         gossip = RecordGossip(
             board, record_cache, clock, Random(1), confirmations
         )
