Publish a server as leaving only once its stream runs in the tests of moves

The tests of moves published the server as leaving 0.1 s after the request was sent, and the stream ended 0.4 s after its events. Only a run with events moves, so a loop that stalls for longer than 0.1 s before the events arrive leaves the run in place, and its stream ends there, as it should.

Ruled out: the product. A run without events that a leaving server ends is resent, and an unframed stream that was never asked to move is whole.

Change: the server is published as leaving once both events have reached the caller, the stream ends only after its move was requested, and the evacuation is adopted before that instead of after 0.05 s. Equally strict: the asserts stay, one more counts the moves.

--- a/tests/gateway/test_proxy.py
+++ b/tests/gateway/test_proxy.py
@@ -108,6 +108,20 @@
         return self.move_result
 
 
+class StreamCaller(RecordingCaller):
+    """Tell when the first bytes of a response have arrived."""
+
+    def __init__(self, first_bytes):
+        super().__init__()
+        self.first_bytes = first_bytes
+        self.arrived = asyncio.Event()
+
+    def write(self, content):
+        super().write(content)
+        if self.body.startswith(self.first_bytes):
+            self.arrived.set()
+
+
 class ProxyHandlerCase(unittest.IsolatedAsyncioTestCase):
     """Run a gateway's request path against servers in the test's loop."""
 
@@ -491,26 +505,37 @@
         caller = await self.send_request('/draft/1')
         self.assertEqual(caller.ending, 'cut')
 
+    def add_moved_stream(self):
+        # The stream ends only once its move was requested.
+        self.add_stream(self.primary, 1, 2, self.engines.stop)
+        self.primary.responses[-1].extend([0.1, 'close'])
+
     async def run_move(self, move_result):
-        self.add_stream(self.primary, 1, 2, 0.4)
-        self.primary.responses[-1].append('close')
+        self.add_moved_stream()
         return await self.move_current_run(move_result)
 
     async def run_move_of_unframed_stream(self, move_result):
         # The engine closes the stream between two events.
         head = make_event(1) + make_event(2)
         self.primary.responses.append(
-            [UNFRAMED_STREAM_HEAD, head, 0.4, 'close']
+            [UNFRAMED_STREAM_HEAD, head, self.engines.stop, 0.1, 'close']
         )
         return await self.move_current_run(move_result)
 
-    async def move_current_run(self, move_result):
+    async def move_current_run(self, move_result, *, evacuated=False):
         self.engines.move_result = move_result
+        caller = StreamCaller(make_event(1) + make_event(2))
+        request = self.make_request('/draft/1')
         mover_task = asyncio.create_task(self.run_mover.run())
-        serving_task = asyncio.create_task(self.send_request('/draft/1'))
-        await asyncio.sleep(0.1)
+        serving_task = asyncio.create_task(self.handler.serve(request, caller))
+        # Only a run with events moves.
+        await asyncio.wait_for(caller.arrived.wait(), 1)
+        if evacuated:
+            self.record_cache.adopt(
+                Record(RecordKind.evacuation, 'zone-a', 2, b'{}')
+            )
         self.publish_server(0, 9, 'draining')
-        caller = await serving_task
+        await serving_task
         mover_task.cancel()
         return caller
 
@@ -524,30 +549,19 @@
         self.assertIn('Last-Event-Id: 2', head)
 
     async def test_run_that_was_not_copied_resumes_at_its_source(self):
-        self.engines.move_result = MoveResult('h1', copied=False)
-        self.add_stream(self.primary, 1, 2, 0.4)
-        self.primary.responses[-1].append('close')
+        self.add_moved_stream()
         self.add_stream(self.primary, 3, 4, STREAM_END)
-        mover_task = asyncio.create_task(self.run_mover.run())
-        serving_task = asyncio.create_task(self.send_request('/draft/1'))
-        await asyncio.sleep(0.1)
-        self.publish_server(0, 9, 'draining')
-        caller = await serving_task
-        mover_task.cancel()
+        caller = await self.move_current_run(MoveResult('h1', copied=False))
         self.assertEqual(caller.body, self.expected)
         self.assertEqual(self.count_arrivals(), [2, 0])
 
     async def test_run_that_was_not_copied_leaves_an_evacuated_zone(self):
         """No request may reach the zone, so the stream ends there."""
-        self.add_stream(self.primary, 1, 2, 0.4)
-        self.primary.responses[-1].append('close')
+        self.add_moved_stream()
         self.add_stream(self.primary, 3, 4, STREAM_END)
-        asyncio.get_running_loop().call_later(
-            0.05,
-            self.record_cache.adopt,
-            Record(RecordKind.evacuation, 'zone-a', 2, b'{}'),
+        caller = await self.move_current_run(
+            MoveResult('h1', copied=False), evacuated=True
         )
-        caller = await self.move_current_run(MoveResult('h1', copied=False))
         self.assertEqual(caller.ending, 'cut')
         self.assertEqual(self.count_arrivals(), [1, 0])
 
@@ -555,6 +569,7 @@
         caller = await self.run_move(MoveResult(detail='status 404'))
         self.assertEqual(caller.ending, 'cut')
         self.assertEqual(self.count_arrivals(), [1, 0])
+        self.assertEqual(len(self.engines.moves), 1)
 
     async def test_unframed_stream_stopped_for_a_move_ended_as_complete(self):
         """Callers got the first events of a moved run as the whole stream."""
