Exchange confirmations only of records that have a bound

Cause: every exchange between hosts carried the confirmations of all four kinds of records, though a host depends on how recent they are only for configurations and servers. Found while tracing the processor time that hosts use since confirmations exist.

Ruled out: the additional pushes of watermarks.

Change: confirmations of rollouts and evacuations stay on the host, where its watch begins after them, as before confirmations were exchanged. The age of records is measured only for the kinds that are exchanged.

--- a/src/monsoonwall/gateway/record_confirmations.py
+++ b/src/monsoonwall/gateway/record_confirmations.py
@@ -15,6 +15,9 @@
 _KEY_PREFIX: Final = 'record/'
 # Era and revision, in an order in which greater bytes are later.
 _POSITION: Final = struct.Struct('>QQ')
+# Kinds whose changes must take effect within a bound. Other hosts need no
+# confirmations of the others, and each exchange of records carries all.
+ANNOUNCED_KINDS: Final = frozenset((RecordKind.catalogue, RecordKind.server))
 
 
 @dataclass(frozen=True)
@@ -58,6 +61,8 @@
     def confirm(self, confirmation: Confirmation) -> None:
         """Adopt what the store has confirmed to this host."""
         self._own[confirmation.kind] = confirmation
+        if confirmation.kind not in ANNOUNCED_KINDS:
+            return
         if self._is_publishing:
             self._held.append(confirmation)
             return
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -17,6 +17,7 @@
 from monsoonwall.decisions.watch_turns import Turn, find_turn
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_confirmations import (
+    ANNOUNCED_KINDS,
     Confirmation,
     RecordConfirmations,
 )
@@ -365,7 +366,7 @@
 
     def _confirm(self, confirmed_at: float) -> None:
         previous = self._schedule.confirmations.find(self.kind)
-        if previous is not None:
+        if previous is not None and self.kind in ANNOUNCED_KINDS:
             age = confirmed_at - previous.confirmed_at
             GATEWAY_RECORD_AGE.labels(self.kind).observe(age)
             if age > _LOGGED_AGE_SECONDS:
--- a/tests/gateway/test_record_confirmations.py
+++ b/tests/gateway/test_record_confirmations.py
@@ -73,6 +73,21 @@
                 self.run_fleet(hosts_per_zone, seed)
 
 
+class AnnouncedKindsTest(unittest.TestCase):
+    """Confirm records of each kind."""
+
+    def test_hosts_exchanged_confirmations_that_none_depends_on(self):
+        board = FakeBoard('edge-1')
+        confirmations = RecordConfirmations(board)
+        for kind in RecordKind:
+            confirmations.confirm(Confirmation(kind, 0, 7, 0))
+            self.assertEqual(confirmations.find(kind).revision, 7)
+        self.assertEqual(
+            {watermark.key for watermark in board.watermarks.list_all()},
+            {'record/catalogue', 'record/server'},
+        )
+
+
 class FailingBoard(FakeBoard):
     """Fail to publish the first fact."""
 
