Move runs through another host where the own links are down

What callers saw: streams at a host that is partitioned from the servers, which runs over tunnels, broke when their engine left: the call that stops a run and copies its state went directly to the engine, and was not received.

Cause: calls that move runs opened their own channel and did not use the connector that requests use.

Change: moves use the connector. transport.channels.call is divided, so that the exchange can use a channel that is open.

--- a/src/monsoonwall/gateway/engines.py
+++ b/src/monsoonwall/gateway/engines.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from monsoonwall.gateway.model import BackendServer
+from monsoonwall.gateway.server_connections import ServerConnector
 
 
 @dataclass(frozen=True)
@@ -27,6 +28,13 @@
 
     @abstractmethod
     async def move_run(
-        self, run_id: str, source: BackendServer, target: BackendServer
+        self,
+        run_id: str,
+        source: BackendServer,
+        target: BackendServer,
+        connector: ServerConnector,
     ) -> MoveResult:
-        """Stop a run at the source and copy its state to the target."""
+        """Stop a run at the source and copy its state to the target.
+
+        ``connector`` opens the channel to the source.
+        """
--- a/src/monsoonwall/gateway/run_moves.py
+++ b/src/monsoonwall/gateway/run_moves.py
@@ -11,6 +11,7 @@
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.records import Record, RecordKind
 from monsoonwall.gateway.runs import MovedRun, Run, RunMove, RunRegistry
+from monsoonwall.gateway.server_connections import ServerConnector
 from monsoonwall.gateway.server_selection import SelectedServer, ServerSelector
 from monsoonwall.logs import make_logger
 from monsoonwall.metrics import STREAM_MOVES
@@ -29,6 +30,7 @@
         record_cache: RecordCache,
         server_selector: ServerSelector,
         engines: EngineCalls,
+        connector: ServerConnector,
         drain_seconds: float,
         clock: Clock,
     ) -> None:
@@ -36,6 +38,7 @@
         self.runs = RunRegistry()
         self._server_selector = server_selector
         self._engines = engines
+        self._connector = connector
         self._move_delay_seconds = _MOVE_DELAY_FRACTION * drain_seconds
         self._clock = clock
         self._move_times: dict[str, float] = {}
@@ -90,7 +93,10 @@
         if target is None:
             return RunMove()
         move_result = await self._engines.move_run(
-            run.request_state.request_id, source, target.server
+            run.request_state.request_id,
+            source,
+            target.server,
+            self._connector,
         )
         label = 'copied' if move_result.copied else 'stopped'
         STREAM_MOVES.labels(label if move_result.handle else 'refused').inc()
--- a/src/monsoonwall/gateway/serving.py
+++ b/src/monsoonwall/gateway/serving.py
@@ -75,6 +75,7 @@
             record_cache,
             server_selector,
             adapters.engines,
+            connector,
             settings.bounds.drain_seconds,
             clock,
         )
--- a/src/monsoonwall/platform/engines.py
+++ b/src/monsoonwall/platform/engines.py
@@ -8,7 +8,8 @@
 from monsoonwall.decoding import DECODE_ERRORS
 from monsoonwall.gateway.engines import EngineCalls, MoveResult
 from monsoonwall.gateway.model import BackendServer
-from monsoonwall.transport.channels import call
+from monsoonwall.gateway.server_connections import ServerConnector
+from monsoonwall.transport.channels import call_once
 from monsoonwall.transport.messages import OutgoingRequest, Reply
 
 # A copy takes milliseconds, but may wait for other copies on the same link.
@@ -23,7 +24,11 @@
     """Move runs between engines, with a new channel for each call."""
 
     async def move_run(
-        self, run_id: str, source: BackendServer, target: BackendServer
+        self,
+        run_id: str,
+        source: BackendServer,
+        target: BackendServer,
+        connector: ServerConnector,
     ) -> MoveResult:
         """Stop a run at the source and copy its state to the target."""
         body = json.encode(
@@ -38,7 +43,8 @@
             body,
         )
         try:
-            reply = await call(source.address, request, _MOVE_TIMEOUT_SECONDS)
+            channel = await connector.open(source, _MOVE_TIMEOUT_SECONDS)
+            reply = await call_once(channel, request, _MOVE_TIMEOUT_SECONDS)
         except (OSError, TimeoutError) as error:
             return MoveResult(detail=repr(error))
         return _decode_result(reply)
--- a/src/monsoonwall/transport/channels.py
+++ b/src/monsoonwall/transport/channels.py
@@ -251,6 +251,17 @@
     ConnectionResetError if it was sent but no complete response arrived.
     """
     channel = await open_channel(address, timeout_seconds)
+    return await call_once(channel, request, timeout_seconds)
+
+
+async def call_once(
+    channel: Channel, request: OutgoingRequest, timeout_seconds: float
+) -> Reply:
+    """Send one request, return the response and close the channel.
+
+    Raises TimeoutError or ConnectionResetError if no complete response
+    arrived.
+    """
     try:
         channel.send(request)
         return await asyncio.wait_for(_read_reply(channel), timeout_seconds)
--- a/tests/gateway/test_proxy.py
+++ b/tests/gateway/test_proxy.py
@@ -102,7 +102,7 @@
         self.moves = []
         self.stop = asyncio.Event()
 
-    async def move_run(self, run_id, source, target):
+    async def move_run(self, run_id, source, target, connector):
         self.moves.append((run_id, source.name, target.name))
         self.stop.set()
         return self.move_result
@@ -153,7 +153,12 @@
             Random(1),
         )
         self.run_mover = RunMover(
-            self.record_cache, self.server_selector, self.engines, 0, clock
+            self.record_cache,
+            self.server_selector,
+            self.engines,
+            DirectConnector(),
+            0,
+            clock,
         )
         self.dialect = PlatformDialect()
         self.admission_check = AdmissionCheck(
