--- a/tests/gateway/test_record_watchers.py
+++ b/tests/gateway/test_record_watchers.py
@@ -71,6 +71,24 @@
         )
 
 
+async def watch_until_drained(
+    source, record_cache, clock, schedule, *, first_start=False
+):
+    """Watch servers until a scripted store has returned all its results."""
+    watcher = RecordWatcher(
+        RecordKind.server,
+        source,
+        record_cache,
+        clock,
+        Random(1),
+        schedule,
+        first_start,
+    )
+    watcher_task = asyncio.create_task(watcher.run())
+    await source.drained.wait()
+    watcher_task.cancel()
+
+
 class RemovalTest(unittest.IsolatedAsyncioTestCase):
     """Read the removal of a server after a call to the store has failed."""
 
@@ -102,18 +120,7 @@
             clock,
         )
         record_cache = make_record_cache(clock)
-        watcher = RecordWatcher(
-            RecordKind.server,
-            source,
-            record_cache,
-            clock,
-            Random(1),
-            schedule,
-            first_start=False,
-        )
-        watcher_task = asyncio.create_task(watcher.run())
-        await source.drained.wait()
-        watcher_task.cancel()
+        await watch_until_drained(source, record_cache, clock, schedule)
         return record_cache.list_all_servers()
 
     async def test_server_that_left_while_one_host_was_slow_is_not_used(self):
@@ -167,18 +174,7 @@
 
         unchanged = Success(Listing((), 7))
         source = ReceivingSource([unchanged, unchanged], clock, receive)
-        watcher = RecordWatcher(
-            RecordKind.server,
-            source,
-            record_cache,
-            clock,
-            Random(1),
-            schedule,
-            first_start=False,
-        )
-        watcher_task = asyncio.create_task(watcher.run())
-        await source.drained.wait()
-        watcher_task.cancel()
+        await watch_until_drained(source, record_cache, clock, schedule)
         return source.calls[-1]
 
     async def test_record_whose_predecessors_may_be_missing_is_not_skipped(
@@ -204,18 +200,13 @@
             FakeBoard('edge-1'), NoPeers(), clock, 'edge-1', 'a'
         )
         source = ScriptedSource(results)
-        watcher = RecordWatcher(
-            RecordKind.server,
+        await watch_until_drained(
             source,
             RecordCache(PlatformCodec(), clock, 2),
             clock,
-            Random(1),
             self.schedule,
-            first_start,
+            first_start=first_start,
         )
-        watcher_task = asyncio.create_task(watcher.run())
-        await source.drained.wait()
-        watcher_task.cancel()
         return source.calls
 
     async def test_first_listing_may_be_stale_but_not_later_ones(self):
