--- a/tests/mesh/virtual_fleet.py
+++ b/tests/mesh/virtual_fleet.py
@@ -155,3 +155,8 @@
             asyncio.ensure_future(node.gossip.run())
             for node in self.nodes.values()
         ]
+
+    def stop(self):
+        """Cancel the gossip of all hosts."""
+        for task in self._tasks:
+            task.cancel()
