--- a/tests/gateway/test_fleet_limits.py
+++ b/tests/gateway/test_fleet_limits.py
@@ -155,8 +155,8 @@
         granted = loop.run_until_complete(self.surge_from_the_start(loop))
         self.assertLessEqual(granted, ALLOWED_TOKENS)
 
-    async def kill_all_twice(self, loop, seed, demand):
-        fleet = LimitedFleet(loop, seed, hosts_per_zone=3)
+    async def kill_all_twice(self, loop, seed, demand, hosts_per_zone=3):
+        fleet = LimitedFleet(loop, seed, hosts_per_zone)
         await fleet.start()
         await fleet.send(BOUNDS.limit_window_seconds, USUAL_DEMAND)
         sending = asyncio.ensure_future(
