Prune the paths to servers only if there are any

Cause: twice a second each host built a set of the addresses of all servers to prune what it knows of paths, although it knows of none while it reaches all servers directly.

Change: nothing is done while nothing is known.

--- a/src/monsoonwall/decisions/server_paths.py
+++ b/src/monsoonwall/decisions/server_paths.py
@@ -76,6 +76,8 @@
 
     def retain(self, servers: Iterable[str], now: float) -> None:
         """Drop what is known of all other servers, and what is outdated."""
+        if not self._tunnels and not self._down_until:
+            return
         kept = set(servers)
         self._tunnels = {
             server: path
