Run tests that do not depend on the real time beside the others

Two thirds of that time the tests wait, for processes and time limits; the rest is processor time, 180 s of it in simulations in virtual time and in tests of decisions, which run one after the other with the rest.

Ruled out: fewer cases or shorter simulations; the tests are the same.

Change: the runner runs these modules in a second process and adds up both tallies. A module is told by its package or its event loop. If the second process ends, the run fails. Named tests run as before.

--- a/tests/runner.py
+++ b/tests/runner.py
@@ -3,12 +3,20 @@
 Each entry of that file is one line. Its first word is the id of a test; the
 rest gives the command, the seed, what was observed and the issue. Listed tests
 that did not fail are reported so that their entries can be removed.
+
+Tests of decisions and those in virtual time take the processor but no notice of
+the real time, so they run in a process beside the others.
 """
 
+import multiprocessing
 import sys
 import unittest
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
+from io import StringIO
 from pathlib import Path
+from typing import TextIO
 
 from hypothesis import settings
 from loguru import logger
@@ -65,22 +73,85 @@
     )
 
 
+def add_tallies(first: Tally, second: Tally) -> Tally:
+    """Return the tally of two parts of one run."""
+    return Tally(
+        passed=first.passed + second.passed,
+        failed=first.failed + second.failed,
+        skipped=first.skipped + second.skipped,
+        known_red=tuple(sorted((*first.known_red, *second.known_red))),
+        # A part reports all listed tests that are not in it.
+        not_failing=tuple(
+            sorted(set(first.not_failing).intersection(second.not_failing))
+        ),
+    )
+
+
 def run_tests(names: list[str]) -> int:
     """Run the named tests, or all tests; return the exit status."""
+    if names:
+        suite = unittest.TestLoader().loadTestsFromNames(names)
+        tally = _run_suite(suite, sys.stderr)
+    else:
+        tally = _run_all()
+    _print_tally(tally)
+    # Without tests, names were wrong.
+    return 1 if tally.failed or not _count_run(tally) else 0
+
+
+def run_virtual(modules: list[str]) -> tuple[Tally, str]:
+    """Run the tests of modules; return their tally and the report."""
+    report = StringIO()
+    suite = unittest.TestLoader().loadTestsFromNames(modules)
+    return _run_suite(suite, report), report.getvalue()
+
+
+def _run_all() -> Tally:
+    found = unittest.TestLoader().discover(
+        str(ROOT / 'tests'), top_level_dir=str(ROOT)
+    )
+    cases = tuple(_iterate_cases(found))
+    modules = sorted(
+        {type(case).__module__ for case in cases if _is_virtual(case)}
+    )
+    others = unittest.TestSuite(case for case in cases if not _is_virtual(case))
+    context = multiprocessing.get_context('spawn')
+    with ProcessPoolExecutor(1, context) as executor:
+        virtual = executor.submit(run_virtual, modules)
+        tally = _run_suite(others, sys.stderr)
+        virtual_tally, report = virtual.result()
+    print(report, file=sys.stderr)
+    return add_tallies(tally, virtual_tally)
+
+
+def _run_suite(suite: unittest.TestSuite, stream: TextIO) -> Tally:
     settings.load_profile('repeatable')
     # Log lines of the tested code would hide the test results.
     logger.remove()
-    loader = unittest.TestLoader()
-    if names:
-        suite = loader.loadTestsFromNames(names)
-    else:
-        suite = loader.discover(str(ROOT / 'tests'), top_level_dir=str(ROOT))
-    outcome = unittest.TextTestRunner(verbosity=1, warnings='default').run(
-        suite
+    outcome = unittest.TextTestRunner(
+        stream, verbosity=1, warnings='default'
+    ).run(suite)
+    return tally_outcome(outcome, read_known_red(ROOT / 'KNOWN-RED.txt'))
+
+
+def _iterate_cases(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+    for part in suite:
+        if isinstance(part, unittest.TestSuite):
+            yield from _iterate_cases(part)
+        else:
+            yield part
+
+
+def _is_virtual(case: unittest.TestCase) -> bool:
+    """Return whether the module of a test is independent of the real time."""
+    name = type(case).__module__
+    return name.startswith('tests.decisions.') or 'VirtualLoop' in vars(
+        sys.modules[name]
     )
-    tally = tally_outcome(outcome, read_known_red(ROOT / 'KNOWN-RED.txt'))
-    _print_tally(tally)
-    return 1 if tally.failed or not outcome.testsRun else 0
+
+
+def _count_run(tally: Tally) -> int:
+    return tally.passed + tally.failed + tally.skipped + len(tally.known_red)
 
 
 def _get_test_id(case: object) -> str:
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.runner import tally_outcome
+from tests.runner import add_tallies, tally_outcome
 
 
 def _fail_on_purpose():
@@ -26,3 +26,12 @@
         tally = tally_outcome(self.outcome, known)
         self.assertEqual(tally.failed, 0)
         self.assertEqual(tally.known_red, tuple(known))
+
+    def test_failures_of_both_parts_count(self):
+        known = frozenset((self.case.id(), 'other'))
+        excused = tally_outcome(self.outcome, known)
+        failed = tally_outcome(self.outcome, frozenset(('other',)))
+        tally = add_tallies(excused, failed)
+        self.assertEqual((tally.passed, tally.failed), (0, 1))
+        self.assertEqual(tally.known_red, (self.case.id(),))
+        self.assertEqual(tally.not_failing, ('other',))
