Load the settings of Hypothesis before the tests again

Tests that have settings of their own (max_examples) take the rest from the profile that is loaded when they are imported. The runner had loaded its profile before it imported the tests, and since then after that, so these tests had the default deadline of 200 ms and random examples again.

Without a deadline, as before, a slow example is no failure; the bounds that the test asserts were met.

Change: both processes prepare before they load tests. The new test failed before for both ((200 ms, random) instead of (no deadline, repeatable)) and passes now.

--- a/tests/runner.py
+++ b/tests/runner.py
@@ -89,6 +89,7 @@
 
 def run_tests(names: list[str]) -> int:
     """Run the named tests, or all tests; return the exit status."""
+    _prepare()
     if names:
         suite = unittest.TestLoader().loadTestsFromNames(names)
         tally = _run_suite(suite, sys.stderr)
@@ -101,6 +102,7 @@
 
 def run_virtual(modules: list[str]) -> tuple[Tally, str]:
     """Run the tests of modules; return their tally and the report."""
+    _prepare()
     report = StringIO()
     suite = unittest.TestLoader().loadTestsFromNames(modules)
     return _run_suite(suite, report), report.getvalue()
@@ -124,10 +126,15 @@
     return add_tallies(tally, virtual_tally)
 
 
-def _run_suite(suite: unittest.TestSuite, stream: TextIO) -> Tally:
+def _prepare() -> None:
+    # Tests that have settings of their own take the rest from the profile that
+    # is loaded when they are imported.
     settings.load_profile('repeatable')
     # Log lines of the tested code would hide the test results.
     logger.remove()
+
+
+def _run_suite(suite: unittest.TestSuite, stream: TextIO) -> Tally:
     outcome = unittest.TextTestRunner(
         stream, verbosity=1, warnings='default'
     ).run(suite)
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -1,8 +1,13 @@
 """Test that only failures listed as known are ignored."""
 
 import unittest
+from contextlib import redirect_stderr, redirect_stdout
+from io import StringIO
+from unittest.mock import patch
 
-from tests.runner import add_tallies, tally_outcome
+from hypothesis import settings
+
+from tests.runner import add_tallies, run_tests, run_virtual, tally_outcome
 
 
 def _fail_on_purpose():
@@ -35,3 +40,32 @@
         self.assertEqual((tally.passed, tally.failed), (0, 1))
         self.assertEqual(tally.known_red, (self.case.id(),))
         self.assertEqual(tally.not_failing, ('other',))
+
+
+class ProfileTest(unittest.TestCase):
+    """Load tests that have settings of their own."""
+
+    def test_tests_were_loaded_before_their_profile(self):
+        """Their examples were random, and failed when one was slow."""
+        for run in (run_tests, run_virtual):
+            with self.subTest(run=run.__name__):
+                settings.load_profile('default')
+                self.addCleanup(settings.load_profile, 'repeatable')
+                self.assertEqual(self.read_settings(run), (None, True))
+
+    def read_settings(self, run):
+        """Return the settings of tests at the time at which they are loaded."""
+        found = []
+
+        def load(_loader, _names):
+            found.append((settings().deadline, settings().derandomize))
+            return unittest.TestSuite()
+
+        output = StringIO()
+        with (
+            patch.object(unittest.TestLoader, 'loadTestsFromNames', load),
+            redirect_stdout(output),
+            redirect_stderr(output),
+        ):
+            run(['tests.none'])
+        return found[0]
