--- a/src/monsoonwall/decisions/allowances.py
+++ b/src/monsoonwall/decisions/allowances.py
@@ -20,8 +20,6 @@
 
 from monsoonwall.decisions.admission import RateMeter
 
-# Restart of a host that starts for the first time.
-NEVER: Final = float('-inf')
 # Grants are summed in steps of this length.
 _STEP_SECONDS: Final = 0.1
 # Time until a grant is known to the hosts that hear this one directly, the
@@ -34,8 +32,7 @@
 _UNREPORTED_FACTOR: Final = 1.5
 # Weight of the grants of a zone in its share; the rest is that of its hosts.
 _GRANTS_WEIGHT: Final = 0.5
-# Fraction of an even share that a restarted host assumes it granted before, if
-# the demand is not known to be higher.
+# Fraction of an even share that a restarted host assumes it granted before.
 _RESTART_SHARE: Final = 0.6
 # A surge has to be measured before it uses up the current window.
 _DEMAND_HALF_LIFE_SECONDS: Final = 1.0
@@ -108,14 +105,13 @@
 class Allowance:
     """Grant requests of one workspace at this host.
 
-    A host that has restarted at ``restarted_at`` does not know what it granted
-    before, so it assumes some. It is minus infinity if the host granted
-    nothing before, so that the whole limit is available.
+    With ``full`` the host granted nothing before, so the whole limit is
+    available. Otherwise it has restarted and does not know its earlier grants,
+    so it assumes some.
     """
 
-    def __init__(self, restarted_at: float = NEVER) -> None:
-        self._restarted_at = restarted_at
-        self._assumed: float = 0
+    def __init__(self, full: bool) -> None:
+        self._full = full
         self._grants: deque[tuple[float, float]] = deque()
         self._granted: float = 0
         self._demand = RateMeter(_DEMAND_HALF_LIFE_SECONDS)
@@ -124,8 +120,7 @@
     def report(self, seconds: float, now: float) -> GrantReport:
         """Return the report to publish to the other hosts."""
         self._expire(now - seconds)
-        granted = self._granted + self._find_assumed(seconds, now)
-        return GrantReport(granted, self._demand.read(now))
+        return GrantReport(self._granted, self._demand.read(now))
 
     def observe(self, near: GrantReport, seconds: float, now: float) -> None:
         """Record what the near hosts report now, and what this host granted."""
@@ -151,11 +146,10 @@
         the grants that are made with a probability, and spreads the waits.
         """
         self._demand.add(units, now)
-        self._expire(now - limit.seconds)
         self._assume_earlier_grants(limit, others, now)
-        own_granted = self._granted + self._find_assumed(limit.seconds, now)
+        self._expire(now - limit.seconds)
         near_limit = self._compute_near_limit(limit, others, now)
-        remaining = near_limit - own_granted - others.near.granted
+        remaining = near_limit - self._granted - others.near.granted
         # A request larger than the limit is granted if the whole limit is
         # left.
         needed = min(units, limit.amount * others.reporting_ratio)
@@ -254,25 +248,14 @@
     def _assume_earlier_grants(
         self, limit: Limit, others: OtherHosts, now: float
     ) -> None:
-        """Update the amount that this host granted before it restarted.
-
-        A workspace that asks for much now has probably done so before, and
-        was granted no more than the limit.
-        """
-        if self._find_remaining_ratio(limit.seconds, now) <= 0:
+        if self._full:
             return
-        demand = self._demand.read(now) + others.near.demand + others.far.demand
-        granted = demand / others.reporting_ratio * limit.seconds
-        ratio = min(1, max(_RESTART_SHARE, granted / max(limit.amount, 1)))
-        self._assumed = ratio * limit.amount / others.hosts
-
-    def _find_assumed(self, seconds: float, now: float) -> float:
-        """Return what is assumed of the grants before the restart."""
-        return self._assumed * self._find_remaining_ratio(seconds, now)
-
-    def _find_remaining_ratio(self, seconds: float, now: float) -> float:
-        """Return the fraction of the window that lies before the restart."""
-        return max(0, 1 - (now - self._restarted_at) / seconds)
+        self._full = True
+        assumed = _RESTART_SHARE * limit.amount / others.hosts
+        steps = int(limit.seconds / _STEP_SECONDS)
+        for step in range(steps):
+            granted_at = now - limit.seconds + step * _STEP_SECONDS
+            self._add(assumed / steps, granted_at)
 
     def _add(self, units: float, now: float) -> None:
         self._granted += units
--- a/src/monsoonwall/gateway/limiting.py
+++ b/src/monsoonwall/gateway/limiting.py
@@ -12,7 +12,6 @@
 
 from monsoonwall.clocks import Clock
 from monsoonwall.decisions.allowances import (
-    NEVER,
     Allowance,
     GrantRecords,
     GrantReport,
@@ -34,11 +33,6 @@
 # the previous exchange.
 _CACHED_PAYLOADS: Final = 256
 
-# Hosts that there may be when a restarted host has not heard of all others, and
-# after how many exchanges without a further host it has.
-_ASSUMED_HOSTS: Final = 12
-_SETTLED_EXCHANGES: Final = 3
-
 _log = make_logger('limits')
 
 
@@ -47,7 +41,7 @@
 
     ``workspaces`` maps names to units granted in the last window and units
     requested per second. ``fleet_hosts`` is the highest number of hosts that
-    any host has seen at once, or 0 if the host has just restarted.
+    any host has seen at once.
     """
 
     hosts: int
@@ -68,9 +62,7 @@
         self._board = board
         self._clock = clock
         self._own_name = settings.host_name
-        self._restarted_at = (
-            NEVER if settings.first_start else clock.read_monotonic()
-        )
+        self._first_start = settings.first_start
         self._bounds = settings.bounds
         self._count_hosts = count_hosts
         self._allowances: dict[str, Allowance] = {}
@@ -80,10 +72,6 @@
         self._near_hosts = 1
         self._far_hosts = 0
         self._fleet_hosts = 0
-        # Hosts that restart together may grant much before they know how many
-        # they are.
-        self._knows_fleet = settings.first_start or not settings.seeds
-        self._exchanges_without_growth = 0
         self._others: dict[str, OtherHosts] = {}
         board.declare_merge(GRANTS_KIND, merge_grants)
 
@@ -131,14 +119,14 @@
                 name: (round(totals.granted), round(totals.demand))
                 for name, totals in own.items()
             },
-            self._fleet_hosts if self._knows_fleet else 0,
+            self._fleet_hosts,
         )
         self._board.publish_entry(GRANTS_KIND, '', msgpack.encode(grants))
         self._read_peers(now)
 
     def _find_allowance(self, workspace: str) -> Allowance:
         return self._allowances.setdefault(
-            workspace, Allowance(self._restarted_at)
+            workspace, Allowance(self._first_start)
         )
 
     def _sum_reports(self, workspace: str, now: float) -> OtherHosts:
@@ -147,11 +135,7 @@
             self._far_records.sum_reports(workspace),
             self._near_records.sum_gone(workspace, now)
             + self._far_records.sum_gone(workspace, now),
-            max(
-                1,
-                self._count_hosts(),
-                0 if self._knows_fleet else _ASSUMED_HOSTS,
-            ),
+            max(1, self._count_hosts()),
             self._near_hosts,
             self._far_hosts,
         )
@@ -163,7 +147,6 @@
             if entry.origin != self._own_name:
                 received = far if is_zone_summary(entry) else near
                 received[entry.origin] = decode_grants(entry.payload)
-        known_hosts = self.reporting_hosts
         self._near_hosts = 1 + _count_reporting(near)
         self._far_hosts = _count_reporting(far)
         GATEWAY_REPORTING_HOSTS.set(self.reporting_hosts)
@@ -174,27 +157,12 @@
             self.reporting_hosts + 1 if everyone else 0,
             *(grants.fleet_hosts for grants in everyone),
         )
-        self._update_knowledge(everyone, known_hosts)
         self._near_records.update(_list_reports(near), now)
         self._far_records.update(_list_reports(far), now)
         self._observe_reports(
             {name for grants in everyone for name in grants.workspaces}, now
         )
 
-    def _update_knowledge(
-        self, everyone: Sequence[Grants], known_hosts: int
-    ) -> None:
-        """Update whether this host knows how many hosts there are."""
-        if everyone and self.reporting_hosts <= known_hosts:
-            self._exchanges_without_growth += 1
-        else:
-            self._exchanges_without_growth = 0
-        self._knows_fleet = (
-            self._knows_fleet
-            or any(grants.fleet_hosts for grants in everyone)
-            or self._exchanges_without_growth >= _SETTLED_EXCHANGES
-        )
-
     def _observe_reports(self, reported: set[str], now: float) -> None:
         seconds = self._bounds.limit_window_seconds
         self._others = {}
