Correct what is said of moves through other hosts; remove a dead setting

The call uses the connector now, but runs move when their server leaves, and the host in between opens no tunnel to a server that leaves: TunnelService._is_known is true for a ready server and false once it drains (run by hand). So such moves still fail.

--- a/tests/gateway/test_fleet_limits.py
+++ b/tests/gateway/test_fleet_limits.py
@@ -68,7 +68,6 @@
             '',
             '',
             '',
-            seeds=('seed',),
             first_start=first_start,
             bounds=BOUNDS,
         )
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -26,8 +26,8 @@
 class PartitionedEngineTest(unittest.IsolatedAsyncioTestCase):
     """Move a run whose engine is reached only through another host."""
 
-    async def test_runs_of_a_partitioned_host_ended_with_their_engine(self):
-        """The call to move a run was sent directly, and not received."""
+    async def test_call_that_moves_a_run_was_always_sent_directly(self):
+        """A host that did not reach the engine itself could not call it."""
         source, target = (
             BackendServer(
                 name, 'llm', f'127.0.0.1:{find_free_port()}', 'zone-a', 'v1', 4
