Observe by how old records requests are sent to servers

The logs told when a host adopted a departure, not for how long it may not have known of it, nor how old its records were when it wrote a request. Both are metrics and log lines now: the longest time that may have passed until a departure was known, and the age of the records at each sending, with a line if that exceeds the drain time. The assembly of a gateway's records moved to a module of its own; no decision has changed.

--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -12,10 +12,8 @@
 from monsoonwall.gateway.adapters import GatewayAdapters
 from monsoonwall.gateway.duty_task import make_duty_task
 from monsoonwall.gateway.readiness import ReadyServer
-from monsoonwall.gateway.record_cache import RecordCache
-from monsoonwall.gateway.record_gossip import RecordGossip
-from monsoonwall.gateway.record_watchers import WatchSchedule, make_watchers
-from monsoonwall.gateway.records import RecordKind
+from monsoonwall.gateway.record_service import RecordService
+from monsoonwall.gateway.sending import ServerAccess
 from monsoonwall.gateway.serving import ServingStack
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.gateway.tunnel_service import TunnelService
@@ -56,41 +54,27 @@
             ),
             clock,
         )
-        self._record_cache = RecordCache(
-            adapters.codec, clock, settings.bounds.drain_seconds
+        self._records = RecordService(
+            settings, adapters, self._mesh, clock, self._random
         )
+        record_cache = self._records.cache
         self._tunnels = TunnelService(
             settings.tunnel_address,
-            self._record_cache,
+            record_cache,
             self._mesh.board,
             clock,
             self._random,
         )
         self._serving = ServingStack(
             settings,
-            self._record_cache,
+            record_cache,
             self._mesh,
             adapters,
-            self._tunnels.connector,
-            clock,
-            self._random,
-        )
-        self._schedule = WatchSchedule(
-            self._mesh.board,
-            self._mesh.peers,
-            clock,
-            settings.host_name,
-            settings.zone,
-            settings.bounds,
-        )
-        self._watchers = make_watchers(
-            adapters.records,
-            self._record_cache,
+            ServerAccess(
+                self._tunnels.connector, self._records.departure_bound
+            ),
             clock,
             self._random,
-            self._schedule,
-            settings.first_start,
-            _choose_record_kinds(settings),
         )
         self._ready_server = ReadyServer(
             settings.ready_address, adapters.ready_path, self._is_ready
@@ -98,7 +82,7 @@
         self._duty_task = make_duty_task(
             settings,
             adapters,
-            self._record_cache,
+            record_cache,
             self._serving,
             self._mesh.peers,
             self._mesh.board,
@@ -128,16 +112,8 @@
             task.cancel()
 
     def _make_background_tasks(self) -> Iterable[BackgroundTask]:
-        gossip = RecordGossip(
-            self._mesh.board,
-            self._record_cache,
-            self._clock,
-            self._random,
-            self._schedule.confirmations,
-        )
         runs = {
-            **{f'watch-{watch.kind}': watch.run for watch in self._watchers},
-            'records': gossip.run,
+            **self._records.list_runs(),
             'duties': self._duty_task.run,
             'signals': self._serving.signals.run,
             'pool': self._serving.pool.run,
@@ -165,7 +141,7 @@
 
     def _is_ready(self) -> bool:
         return (
-            self._record_cache.catalogue is not None
+            self._records.cache.catalogue is not None
             and not self._shutdown_requested.is_set()
         )
 
@@ -190,12 +166,3 @@
         await self._tunnels.stop(deadline - self._clock.read_monotonic())
         ingress.close_idle()
         _log.info('Shutdown done.', requests_left=ingress.active)
-
-
-def _choose_record_kinds(settings: GatewaySettings) -> Iterable[RecordKind]:
-    """Return the kinds of records that exist in this deployment."""
-    if settings.bounds.evacuate_seconds:
-        return RecordKind
-    return tuple(
-        kind for kind in RecordKind if kind is not RecordKind.evacuation
-    )
--- a/src/monsoonwall/gateway/sending.py
+++ b/src/monsoonwall/gateway/sending.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from monsoonwall.clocks import Clock
+from monsoonwall.gateway.departure_bound import DepartureBound
 from monsoonwall.gateway.dialect import Attempt, Dialect, ResponseInfo
 from monsoonwall.gateway.model import BackendServer
 from monsoonwall.gateway.pool import ChannelPool
@@ -89,6 +90,14 @@
         """Receive the end; return whether the response is complete."""
 
 
+@dataclass(frozen=True)
+class ServerAccess:
+    """Hold how servers are reached, and when they get no more requests."""
+
+    connector: ServerConnector
+    departure_bound: DepartureBound
+
+
 class Sender:
     """Send attempts over pooled channels."""
 
@@ -97,12 +106,13 @@
         dialect: Dialect,
         clock: Clock,
         observer: ResponseObserver,
-        connector: ServerConnector,
+        access: ServerAccess,
     ) -> None:
-        self.pool = ChannelPool(clock, connector)
+        self.pool = ChannelPool(clock, access.connector)
         self._dialect = dialect
         self._clock = clock
         self._observer = observer
+        self._departure_bound = access.departure_bound
 
     async def send(
         self, attempt: Attempt, writer: ResponseWriter, response_deadline: float
@@ -130,6 +140,7 @@
                 self._observer.observe_response, attempt.server, sent_at=now
             ),
         )
+        self._departure_bound.record_sending(attempt.server)
         try:
             channel.send(self._dialect.write_attempt(attempt, now))
             outcome = await reader.run(response_deadline - now)
--- a/src/monsoonwall/gateway/serving.py
+++ b/src/monsoonwall/gateway/serving.py
@@ -16,7 +16,7 @@
 from monsoonwall.gateway.rollouts import RolloutController
 from monsoonwall.gateway.run_moves import RunMover
 from monsoonwall.gateway.screening import make_screener
-from monsoonwall.gateway.sending import Sender, ServerConnector
+from monsoonwall.gateway.sending import Sender, ServerAccess
 from monsoonwall.gateway.server_selection import ServerSelector
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.gateway.signals import ServerSignals
@@ -32,7 +32,7 @@
         record_cache: RecordCache,
         mesh: MeshNode,
         adapters: GatewayAdapters,
-        connector: ServerConnector,
+        access: ServerAccess,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -49,7 +49,7 @@
         )
         self.loads = LoadTracker(mesh.board, clock)
         self.screener = make_screener(
-            record_cache, mesh.board, clock, connector
+            record_cache, mesh.board, clock, access.connector
         )
         self.rollouts = RolloutController(
             record_cache, mesh.board, clock, settings.bounds
@@ -69,13 +69,13 @@
             clock,
             random,
         )
-        sender = Sender(adapters.dialect, clock, self.signals, connector)
+        sender = Sender(adapters.dialect, clock, self.signals, access)
         self.pool = sender.pool
         self.run_mover = RunMover(
             record_cache,
             server_selector,
             adapters.engines,
-            connector,
+            access.connector,
             settings.bounds.drain_seconds,
             clock,
         )
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -204,6 +204,18 @@
     ('kind',),
     buckets=(0.1, 0.25, 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10),
 )
+GATEWAY_SENDING_RECORD_AGE = Histogram(
+    'monsoonwall_gateway_sending_record_age_seconds',
+    'Time since the records of servers were last confirmed, whenever a '
+    'request is sent to a server.',
+    buckets=(0.1, 0.25, 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10),
+)
+GATEWAY_DEPARTURE_DELAY = Histogram(
+    'monsoonwall_gateway_departure_delay_seconds',
+    'Longest time that may have passed until this host knew that a server is '
+    'leaving or gone.',
+    buckets=(0.1, 0.25, 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10),
+)
 GATEWAY_REPORTING_HOSTS = Gauge(
     'monsoonwall_gateway_hosts_heard',
     'Other hosts whose grants are known, with those of summed-up zones.',
--- a/tests/gateway/test_proxy.py
+++ b/tests/gateway/test_proxy.py
@@ -10,6 +10,7 @@
 
 from monsoonwall.clocks import SystemClock
 from monsoonwall.gateway.admission import AdmissionCheck
+from monsoonwall.gateway.departure_bound import DepartureBound
 from monsoonwall.gateway.dependencies import RequestDependencies
 from monsoonwall.gateway.engines import EngineCalls, MoveResult
 from monsoonwall.gateway.fleet_view import FleetView
@@ -18,12 +19,13 @@
 from monsoonwall.gateway.model import CallerRequest
 from monsoonwall.gateway.proxy import ProxyHandler
 from monsoonwall.gateway.record_cache import RecordCache
+from monsoonwall.gateway.record_confirmations import RecordConfirmations
 from monsoonwall.gateway.records import Record, RecordKind
 from monsoonwall.gateway.retrying import RetryPolicy
 from monsoonwall.gateway.rollouts import RolloutController
 from monsoonwall.gateway.run_moves import RunMover
 from monsoonwall.gateway.screening import make_screener
-from monsoonwall.gateway.sending import Sender
+from monsoonwall.gateway.sending import Sender, ServerAccess
 from monsoonwall.gateway.server_connections import DirectConnector
 from monsoonwall.gateway.server_selection import ServerSelector
 from monsoonwall.gateway.settings import Bounds, GatewaySettings
@@ -176,7 +178,20 @@
                 self.screener,
                 self.server_selector,
                 RetryPolicy(Bounds(), clock, lambda: 1),
-                Sender(self.dialect, clock, self.signals, DirectConnector()),
+                Sender(
+                    self.dialect,
+                    clock,
+                    self.signals,
+                    ServerAccess(
+                        DirectConnector(),
+                        DepartureBound(
+                            self.record_cache,
+                            RecordConfirmations(board),
+                            clock,
+                            2,
+                        ),
+                    ),
+                ),
                 self.loads,
                 self.rollouts,
                 UsageCounter(board, clock, 'edge-1', Bounds()),
