Show three ways in which hosts claim to know more than they do

- A response with changes that is read late confirms the records up to its reading.
The simulated hosts now read late at times, for the store's responses and for messages of other hosts, and their monotonic clocks have different origins; a check compares each confirmation with when the store's records were written.
- A confirmation of another host counts before the records that came with it have been adopted.
- A list of several pages claims the revision of its last page, so that a change of an object of an earlier page between them is never read.
The store's stand-in has pages now.

No simulation saw the first one, as the simulated responses took no time.

--- a/tests/gateway/test_record_confirmations.py
+++ b/tests/gateway/test_record_confirmations.py
@@ -10,8 +10,13 @@
     Confirmation,
     RecordConfirmations,
 )
-from monsoonwall.gateway.record_gossip import RECORD_KIND, RecordGossip
+from monsoonwall.gateway.record_gossip import (
+    RECORD_KIND,
+    RecordGossip,
+    encode_record,
+)
 from monsoonwall.gateway.records import RecordKind
+from monsoonwall.mesh.board import Fact
 from tests.gateway.fakes import FakeBoard
 from tests.gateway.test_record_cache import make_record_cache, make_server
 from tests.gateway.virtual_gateways import VirtualGateways
@@ -29,16 +34,16 @@
 class RecordConfirmationsTest(unittest.TestCase):
     """Change servers while channels fall silent and hosts are cut off."""
 
-    def run_fleet(self, hosts_per_zone, seed):
+    def run_fleet(self, hosts_per_zone, seed, *, deaf_seconds=0):
         loop = VirtualLoop()
         try:
             return loop.run_until_complete(
-                self.disturb(loop, hosts_per_zone, Random(seed))
+                self.disturb(loop, hosts_per_zone, Random(seed), deaf_seconds)
             )
         finally:
             close_loop(loop)
 
-    async def disturb(self, loop, hosts_per_zone, random):
+    async def disturb(self, loop, hosts_per_zone, random, deaf_seconds):
         gateways = VirtualGateways(ZONES, hosts_per_zone, loop, DRAIN_SECONDS)
         gateways.start()
         await asyncio.sleep(CONVERGENCE_SECONDS)
@@ -49,14 +54,18 @@
                 gateways.fleet.silence_channels()
             if not random.randrange(10):
                 gateways.fleet.cut_off = set(random.sample(hosts, 3))
+            if deaf_seconds and not random.randrange(4):
+                until = loop.time() + deaf_seconds * random.random()
+                gateways.fleet.deaf_until[random.choice(hosts)] = until
             await asyncio.sleep(random.random())
             for host in hosts:
                 self.check_host(gateways, host)
 
     def check_host(self, gateways, host):
-        """Compare a host's records with the store's as of its revision."""
+        """Compare what a host has been confirmed with the store's history."""
         kind = RecordKind.server
         confirmed = gateways.confirmations[host].find(kind)
+        origin = gateways.fleet.clocks[host].origin
         held = {
             record.name: record.revision
             for record in gateways.caches[host].list_records(kind)
@@ -66,12 +75,21 @@
                 self.assertGreaterEqual(
                     held.get(record.name, 0), record.revision
                 )
+            written_at = gateways.store.written_at[record.position] - origin
+            if record.kind is kind and written_at < confirmed.confirmed_at:
+                self.assertGreaterEqual(confirmed.revision, record.revision)
 
     def test_confirmed_records_are_held(self):
         for hosts_per_zone, seed in ((3, 1), (3, 2), (10, 3)):
             with self.subTest(hosts_per_zone=hosts_per_zone, seed=seed):
                 self.run_fleet(hosts_per_zone, seed)
 
+    def test_response_that_was_read_late_confirmed_up_to_its_reading(self):
+        """Its host, and others, then used servers that had left for long."""
+        for hosts_per_zone, seed in ((1, 1), (3, 2), (10, 3)):
+            with self.subTest(hosts_per_zone=hosts_per_zone, seed=seed):
+                self.run_fleet(hosts_per_zone, seed, deaf_seconds=2)
+
 
 class AnnouncedKindsTest(unittest.TestCase):
     """Confirm records of each kind."""
@@ -88,6 +106,27 @@
         )
 
 
+class ReceivedRecordsTest(unittest.TestCase):
+    """Receive a confirmation together with the records that it covers."""
+
+    def test_records_were_confirmed_before_they_had_been_adopted(self):
+        """The task that adopts them may just have failed."""
+        clock = ManualClock()
+        board = FakeBoard('edge-1')
+        confirmations = RecordConfirmations(board)
+        RecordGossip(
+            board, make_record_cache(clock), clock, Random(1), confirmations
+        )
+        confirmations.confirm(Confirmation(RecordKind.server, 0, 7, 0))
+        departure = make_server('i-1', 9, state='draining')
+        board.subscribe(RECORD_KIND).put_nowait(
+            Fact(RECORD_KIND, 'server/i-1', encode_record(departure), 3600)
+        )
+        others = RecordConfirmations(board)
+        others.confirm(Confirmation(RecordKind.server, 0, 9, 1))
+        self.assertEqual(confirmations.find(RecordKind.server).revision, 7)
+
+
 class FailingBoard(FakeBoard):
     """Fail to publish the first fact."""
 
--- a/tests/gateway/virtual_gateways.py
+++ b/tests/gateway/virtual_gateways.py
@@ -22,7 +22,7 @@
 from monsoonwall.gateway.settings import Bounds
 from monsoonwall.platform.documents import PlatformCodec
 from monsoonwall.platform.objects import StoreFailure
-from tests.mesh.virtual_fleet import LoopClock, VirtualFleet
+from tests.mesh.virtual_fleet import VirtualFleet
 
 SERVICE = 'llm'
 CALL_SECONDS = 0.004
@@ -47,6 +47,8 @@
         self.first_revision = 1
         self.era = 0
         self.silenced = set()
+        # When each record was written, by era and revision.
+        self.written_at = {}
         # When each host last made a call, and the number of all calls.
         self.called_at = {}
         self.calls = 0
@@ -83,6 +85,7 @@
         self.revision += 1
         record = Record(kind, name, self.revision, content, self.era)
         self.history.append(record)
+        self.written_at[record.position] = self._loop.time()
         if content is None:
             self.records.pop((kind, name))
         else:
@@ -123,25 +126,35 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def wait_change(self, deadline):
-        """Wait for the next change of any record, or for the deadline."""
-        remaining_seconds = max(0, deadline - self._loop.time())
+    async def wait_change(self, seconds):
+        """Wait for the next change of any record, or for a time."""
         try:
-            async with asyncio.timeout(remaining_seconds):
+            async with asyncio.timeout(max(0, seconds)):
                 await self._changed.wait()
         except TimeoutError:
             return
 
 
 class SimulatedSource(RecordSource):
-    """Call the simulated store from one host."""
+    """Call the simulated store from one host of a fleet."""
 
-    def __init__(self, store, host, loop):
+    def __init__(self, store, host, fleet, clock):
         self._store = store
         self._host = host
-        self._loop = loop
+        self._fleet = fleet
+        self._clock = clock
 
     async def list_records(self, kind, current):
+        listed = await self._list(kind)
+        await self._fleet.wait_reading(self._host)
+        return listed
+
+    async def watch_records(self, kind, after, deadline):
+        watched = await self._watch(kind, after, deadline)
+        await self._fleet.wait_reading(self._host)
+        return watched
+
+    async def _list(self, kind):
         self._store.record_call(self._host)
         await asyncio.sleep(CALL_SECONDS)
         if self._host in self._store.silenced:
@@ -159,7 +172,7 @@
             )
         )
 
-    async def watch_records(self, kind, after, deadline):
+    async def _watch(self, kind, after, deadline):
         self._store.record_call(self._host)
         await asyncio.sleep(CALL_SECONDS)
         silenced = self._host in self._store.silenced
@@ -170,12 +183,17 @@
             if not self._store.first_revision <= after <= self._store.revision:
                 return Failure(StoreFailure.missing)
             changes = self._store.list_changes(kind, after)
-            if changes or self._loop.time() + TIMER_SECONDS >= deadline:
+            if (
+                changes
+                or self._clock.read_monotonic() + TIMER_SECONDS >= deadline
+            ):
                 return Success(Listing(changes, self._store.revision, era))
-            await self._store.wait_change(deadline)
+            await self._store.wait_change(
+                deadline - self._clock.read_monotonic()
+            )
             silenced = self._host in self._store.silenced
         timeout_at = deadline + WATCH_TIMEOUT_SECONDS
-        await asyncio.sleep(max(0, timeout_at - self._loop.time()))
+        await asyncio.sleep(max(0, timeout_at - self._clock.read_monotonic()))
         return Failure(StoreFailure.lost)
 
 
@@ -189,7 +207,7 @@
         self.confirmations = {}
         self._coroutines = []
         for name, node in self.fleet.nodes.items():
-            self._add(name, node, LoopClock(loop), drain_seconds)
+            self._add(name, node, self.fleet.clocks[name], drain_seconds)
 
     def _add(self, name, node, clock, drain_seconds):
         cache = RecordCache(PlatformCodec(), clock, drain_seconds)
@@ -205,7 +223,7 @@
             ),
         )
         watchers = make_watchers(
-            SimulatedSource(self.store, name, clock.loop),
+            SimulatedSource(self.store, name, self.fleet, clock),
             cache,
             clock,
             random,
--- a/tests/mesh/virtual_fleet.py
+++ b/tests/mesh/virtual_fleet.py
@@ -54,13 +54,14 @@
 
 
 class LoopClock(Clock):
-    """Read the time of a loop."""
+    """Read the time of a loop; monotonic time has another origin."""
 
-    def __init__(self, loop):
+    def __init__(self, loop, origin=0):
         self.loop = loop
+        self.origin = origin
 
     def read_monotonic(self):
-        return self.loop.time()
+        return self.loop.time() - self.origin
 
     def read_wall(self):
         return self.loop.time()
@@ -93,9 +94,11 @@
                     StatusCode.DEADLINE_EXCEEDED, Metadata(), Metadata()
                 )
             await asyncio.sleep(LATENCY_SECONDS)
+            await self._network.wait_reading(self._address.rpartition(':')[0])
             service = self._network.services[self._address]
             reply = await getattr(service, method)(request, None)
             await asyncio.sleep(LATENCY_SECONDS)
+            await self._network.wait_reading(self._caller)
             return reply
 
         return call
@@ -111,12 +114,17 @@
         self.services = {}
         # Hosts that are cut off from all others.
         self.cut_off = set()
+        # Until when hosts read nothing that arrives (seconds of the loop).
+        self.deaf_until = {}
         self.channels = []
         self.nodes = {}
+        self.clocks = {}
         seeds = tuple(f'{zone}-0:1' for zone in zones)
         for zone in zones:
             for number in range(hosts_per_zone):
-                self._add(f'{zone}-{number}', zone, seeds, LoopClock(loop))
+                # The hosts have started one after the other.
+                clock = LoopClock(loop, origin=len(self.nodes))
+                self._add(f'{zone}-{number}', zone, seeds, clock)
 
     def is_cut(self, caller, callee):
         """Return whether one of two hosts is cut off from the other."""
@@ -124,6 +132,12 @@
             (caller, callee)
         )
 
+    async def wait_reading(self, host):
+        """Wait until a host reads what has arrived."""
+        until = self.deaf_until.get(host, 0)
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0, until - now))
+
     def open_channel(self, caller, address):
         channel = FakeChannel(self, caller, address)
         self.channels.append(channel)
@@ -147,6 +161,7 @@
         open_channel = partial(self.open_channel, name)
         node = MeshNode(settings, clock, channels=Channels(open_channel))
         self.nodes[name] = node
+        self.clocks[name] = clock
         self.services[f'{name}:1'] = GossipService(node.gossip)
 
     def start(self):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -67,6 +67,23 @@
         names = [record.name for record in listed.unwrap().records]
         self.assertEqual(names, ['main'])
 
+    async def test_object_that_changed_between_pages_was_never_read(self):
+        """A list of two pages claimed the revision of the second one."""
+        for name in ('i-1', 'i-2'):
+            self.store.put('servers', name, SERVER)
+        self.store.page_size = 1
+        before = self.store.revision
+
+        def leave():
+            self.store.on_list = lambda: None
+            self.store.put('servers', 'i-1', {**SERVER, 'state': 'draining'})
+
+        self.store.on_list = leave
+        listed = await self.client.list_records(RecordKind.server, current=True)
+        listing = listed.unwrap()
+        self.assertEqual(len(listing.records), 2)
+        self.assertEqual(listing.revision, before)
+
     async def test_watch_reports_discarded_history(self):
         self.store.put('servers', 'i-1', SERVER)
         self.store.compact_history()
--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -35,6 +35,8 @@
         self.silent_addresses = set()
         self.calls = 0
         self.era = 0
+        # Objects in each page of a list.
+        self.page_size = 500
         self.changed = asyncio.Event()
 
     def copy(self):
@@ -60,6 +62,9 @@
         """Respond to later calls; those lost before get no response."""
         self.silent_addresses.discard(address)
 
+    def on_list(self):
+        """Do nothing; tests replace this to change objects between pages."""
+
     def put(self, kind, name, spec, status=None):
         self.revision += 1
         metadata = {'name': name, 'revision': self.revision}
@@ -128,6 +133,14 @@
         return expected is None or expected == found['metadata']['revision']
 
 
+def _read_name(found):
+    """Return the name of an object; malformed ones are listed last."""
+    try:
+        return found['metadata']['name']
+    except TypeError:
+        return '~'
+
+
 class KindHandler(_Handler):
     """List, watch or create objects of one kind."""
 
@@ -136,9 +149,23 @@
         if watched:
             await self._watch(kind, int(watched))
             return
+        remaining = sorted(
+            (
+                found
+                for found in self.store.list_kind(kind)
+                if _read_name(found) > self.get_query_argument('after', '')
+            ),
+            key=_read_name,
+        )
+        page = remaining[: self.store.page_size]
         self.respond(
-            {'items': self.store.list_kind(kind), 'at': self.store.revision}
+            {
+                'items': page,
+                'has_more': len(page) < len(remaining),
+                'at': self.store.revision,
+            }
         )
+        self.store.on_list()
 
     async def _watch(self, kind, after):
         if not self.store.compacted_revision <= after <= self.store.revision:
