Continue a list of several pages after the revision of its first page

A listing took the revision of its last page. An object of an earlier page that changed meanwhile was not in it, and the watch from that revision never returned the change: a server that had said that it leaves stayed in use until it was gone. A watch from the first page's revision returns the objects that changed since, which the records' positions order.

--- a/src/monsoonwall/platform/store.py
+++ b/src/monsoonwall/platform/store.py
@@ -245,6 +245,7 @@
         objects: list[StoreObject] = []
         query = dict(options)
         era: int | None = None
+        revision: int | None = None
         while True:
             path = f'{_OBJECTS_PATH}/{kind}?{urlencode(query)}'.rstrip('?')
             fetched = await self._fetch(
@@ -257,8 +258,11 @@
                 return page
             page_content = page.unwrap()
             objects.extend(decode_valid(page_content.items, StoreObject))
+            # Objects of earlier pages may have changed since.
+            if revision is None:
+                revision = page_content.at
             if not page_content.has_more or not objects:
-                return Success(StoreList(page_content.at, tuple(objects), era))
+                return Success(StoreList(revision, tuple(objects), era))
             query['after'] = objects[-1].metadata.name
 
     async def _watch(
