Confirm a watch with changes as of its call, not of its reading

A response with changes was confirmed as of when it was read. It was made earlier, by as long as it was on the way or its host did not run, so the host claimed to know what was written meanwhile, waited beyond the bound, and passed the claim on to hosts that were themselves undisturbed.

--- a/src/monsoonwall/decisions/record_age.py
+++ b/src/monsoonwall/decisions/record_age.py
@@ -22,3 +22,17 @@
     return confirmed_at + max(
         _READING_SECONDS, bound_seconds - _READING_SECONDS
     )
+
+
+def find_current_time(
+    began_at: float, waits_until: float, responded_at: float, *, changed: bool
+) -> float:
+    """Return up to when a watch's response states all changes.
+
+    A store that has changes responds at once, and its response may be read
+    long after that. One without changes is not made before the wait is over.
+    All times are in the monotonic seconds of the host that watches.
+    """
+    if changed or responded_at < waits_until:
+        return began_at
+    return waits_until
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -324,7 +324,6 @@
         # A stale list is cheaper, but safe only when the whole system starts
         # for the first time: later it could restore a server that has left or
         # an API key that was revoked.
-        began = self._clock.read_monotonic()
         listed = await self._source.list_records(self.kind, self._needs_current)
         if not is_successful(listed):
             return listed.failure()
@@ -335,8 +334,7 @@
         )
         self._revision = listing.revision
         self._era = listing.era
-        if self._needs_current:
-            self._confirm(began)
+        self._confirm(listing.current_at)
         self._needs_current = True
         return None
 
@@ -356,8 +354,7 @@
         for record in changes.records:
             self._record_cache.adopt(record, self._outages.recovering)
         self._revision = max(self._revision or 0, changes.revision)
-        # The store responds early only when there are changes.
-        self._confirm(min(deadline, self._clock.read_monotonic()))
+        self._confirm(changes.current_at)
         if changes.records:
             # Servers often start and stop in groups. Waiting collects their
             # changes into one response, since each response costs a call.
@@ -365,6 +362,8 @@
         return None
 
     def _confirm(self, confirmed_at: float) -> None:
+        if confirmed_at == float('-inf'):
+            return
         previous = self._schedule.confirmations.find(self.kind)
         if previous is not None and self.kind in ANNOUNCED_KINDS:
             age = confirmed_at - previous.confirmed_at
--- a/src/monsoonwall/gateway/records.py
+++ b/src/monsoonwall/gateway/records.py
@@ -50,11 +50,16 @@
 
 @dataclass(frozen=True)
 class Listing:
-    """Records of one kind, as of a revision of an era."""
+    """Records of one kind, as of a revision of an era.
+
+    ``current_at`` is up to when, in monotonic seconds, the store had no later
+    changes; minus infinity if that is not known.
+    """
 
     records: tuple[Record, ...]
     revision: int
     era: int = 0
+    current_at: float = float('-inf')
 
 
 class RecordSource(ABC):
--- a/src/monsoonwall/platform/store.py
+++ b/src/monsoonwall/platform/store.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from monsoonwall.clocks import Clock
+from monsoonwall.decisions.record_age import find_current_time
 from monsoonwall.gateway.model import Rollout, RolloutState
 from monsoonwall.gateway.records import (
     Listing,
@@ -175,6 +176,7 @@
         self, kind: RecordKind, current: bool
     ) -> Result[Listing, StoreFailure]:
         """Fetch all records of a kind, maybe seconds old if not ``current``."""
+        began_at = self._clock.read_monotonic()
         listed = await self._list(
             _KINDS[kind],
             CallReason.configuration,
@@ -189,6 +191,7 @@
                 ),
                 decoded.revision,
                 decoded.era,
+                began_at if current else float('-inf'),
             )
         )
 
@@ -208,6 +211,7 @@
                 ),
                 decoded.revision,
                 decoded.era,
+                decoded.current_at,
             )
         )
 
@@ -268,7 +272,8 @@
     async def _watch(
         self, kind: str, after: int, deadline: float, reason: CallReason
     ) -> Result[StoreChanges, StoreFailure]:
-        remaining_seconds = max(0, deadline - self._clock.read_monotonic())
+        began_at = self._clock.read_monotonic()
+        remaining_seconds = max(0, deadline - began_at)
         wait_milliseconds = min(
             _MAX_WAIT_MILLISECONDS,
             int(remaining_seconds * _MILLISECONDS_PER_SECOND),
@@ -279,12 +284,22 @@
             reason,
             remaining_seconds + _WATCH_TIMEOUT_SECONDS,
         )
+        responded_at = self._clock.read_monotonic()
+        waits_until = began_at + wait_milliseconds / _MILLISECONDS_PER_SECOND
         era = fetched.map(read_era).value_or(0)
         return fetched.bind(
             lambda reply: decode_response(reply, StoreEvents)
         ).map(
             lambda decoded: StoreChanges(
-                decoded.at, decode_valid(decoded.events, StoreEvent), era
+                decoded.at,
+                decode_valid(decoded.events, StoreEvent),
+                era,
+                find_current_time(
+                    began_at,
+                    waits_until,
+                    responded_at,
+                    changed=bool(decoded.events),
+                ),
             )
         )
 
--- a/src/monsoonwall/platform/store_messages.py
+++ b/src/monsoonwall/platform/store_messages.py
@@ -74,11 +74,15 @@
 
 @dataclass(frozen=True)
 class StoreChanges:
-    """Decoded changes of a watch, up to a revision of the store."""
+    """Decoded changes of a watch, up to a revision of the store.
+
+    It had no later ones at ``current_at``, in monotonic seconds.
+    """
 
     revision: int
     events: tuple[StoreEvent, ...]
     era: int
+    current_at: float
 
 
 def read_era(reply: Reply) -> int:
--- a/tests/gateway/virtual_gateways.py
+++ b/tests/gateway/virtual_gateways.py
@@ -10,6 +10,7 @@
 from msgspec import json
 from returns.result import Failure, Success
 
+from monsoonwall.decisions.record_age import find_current_time
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_gossip import RecordGossip
 from monsoonwall.gateway.record_watchers import WatchSchedule, make_watchers
@@ -155,6 +156,7 @@
         return watched
 
     async def _list(self, kind):
+        began_at = self._clock.read_monotonic()
         self._store.record_call(self._host)
         await asyncio.sleep(CALL_SECONDS)
         if self._host in self._store.silenced:
@@ -169,10 +171,12 @@
                 ),
                 self._store.revision,
                 self._store.era,
+                began_at,
             )
         )
 
     async def _watch(self, kind, after, deadline):
+        began_at = self._clock.read_monotonic()
         self._store.record_call(self._host)
         await asyncio.sleep(CALL_SECONDS)
         silenced = self._host in self._store.silenced
@@ -183,11 +187,15 @@
             if not self._store.first_revision <= after <= self._store.revision:
                 return Failure(StoreFailure.missing)
             changes = self._store.list_changes(kind, after)
-            if (
-                changes
-                or self._clock.read_monotonic() + TIMER_SECONDS >= deadline
-            ):
-                return Success(Listing(changes, self._store.revision, era))
+            now = self._clock.read_monotonic()
+            if changes or now + TIMER_SECONDS >= deadline:
+                # The response may be read at any later time.
+                current_at = find_current_time(
+                    began_at, deadline, float('inf'), changed=bool(changes)
+                )
+                return Success(
+                    Listing(changes, self._store.revision, era, current_at)
+                )
             await self._store.wait_change(
                 deadline - self._clock.read_monotonic()
             )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -90,8 +90,23 @@
         self.assertIs((await self.watch(1)).failure(), StoreFailure.missing)
 
     async def test_watch_ends_without_changes(self):
+        began = time.monotonic()
         changes = (await self.watch(self.store.revision)).unwrap()
         self.assertEqual(changes.records, ())
+        self.assertLess(began + 0.19, changes.current_at)
+        self.assertLess(changes.current_at, time.monotonic())
+
+    async def test_response_with_changes_is_as_old_as_its_call(self):
+        after = self.store.revision
+        self.store.put('servers', 'i-1', SERVER)
+        self.store.on_watch = lambda: time.sleep(0.1)
+        began = time.monotonic()
+        changes = (await self.watch(after)).unwrap()
+        self.assertLess(changes.current_at, began + 0.1)
+        listed = await self.client.list_records(
+            RecordKind.server, current=False
+        )
+        self.assertEqual(listed.unwrap().current_at, float('-inf'))
 
     async def write_and_lose(self):
         """Return the version of an object that the store then loses.
--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -65,6 +65,9 @@
     def on_list(self):
         """Do nothing; tests replace this to change objects between pages."""
 
+    def on_watch(self):
+        """Do nothing; tests replace this to delay responses."""
+
     def put(self, kind, name, spec, status=None):
         self.revision += 1
         metadata = {'name': name, 'revision': self.revision}
@@ -184,6 +187,7 @@
             self.request.connection.stream.close()
             return
         events = self.store.list_events(kind, after)
+        self.store.on_watch()
         self.respond({'events': events, 'at': self.store.revision})
 
     def _has_news(self, kind, after, era):
