Count confirmations of other hosts once their records are adopted

A host took over the confirmations of another host with the records that came with them, but adopted the records in a task of its own. If that task had failed and waited to start again (up to 2 s), or a record was still in its queue, the records counted as recent without the departures among them. Confirmations that arrive meanwhile are disregarded; what the store confirms to the host itself is adopted before. A record whose adoption fails is tried again, instead of being lost.

--- a/src/monsoonwall/gateway/record_confirmations.py
+++ b/src/monsoonwall/gateway/record_confirmations.py
@@ -6,6 +6,7 @@
 """
 
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -43,6 +44,16 @@
         self._held: list[Confirmation] = []
         # The latest confirmation by the store itself, held or not.
         self._own: dict[RecordKind, Confirmation] = {}
+        # The latest ones by other hosts whose records have been adopted.
+        self._received: dict[RecordKind, Confirmation] = {}
+        self._has_unadopted: Callable[[], bool] = _adopts_at_once
+
+    def track_unadopted(self, has_unadopted: Callable[[], bool]) -> None:
+        """Disregard later confirmations while received records wait.
+
+        ``has_unadopted`` returns whether records wait to be adopted.
+        """
+        self._has_unadopted = has_unadopted
 
     def hold(self, _record: Record) -> None:
         """Hold further confirmations until ``release`` is called.
@@ -76,12 +87,23 @@
 
     def find(self, kind: RecordKind) -> Confirmation | None:
         """Return the latest confirmation, of this host or of another one."""
+        if not self._has_unadopted():
+            self._receive(kind)
         own = self._own.get(kind)
+        received = self._received.get(kind)
+        if own is None or received is None:
+            return own or received
+        return own if own.confirmed_at > received.confirmed_at else received
+
+    def _receive(self, kind: RecordKind) -> None:
         watermark = self._board.find_watermark(f'{_KEY_PREFIX}{kind}')
         if watermark is None or len(watermark.position) != _POSITION.size:
-            return own
+            return
         era, revision = _POSITION.unpack(watermark.position)
-        found = Confirmation(kind, era, revision, watermark.confirmed_at)
-        if own is not None and own.confirmed_at > found.confirmed_at:
-            return own
-        return found
+        self._received[kind] = Confirmation(
+            kind, era, revision, watermark.confirmed_at
+        )
+
+
+def _adopts_at_once() -> bool:
+    return False
--- a/src/monsoonwall/gateway/record_gossip.py
+++ b/src/monsoonwall/gateway/record_gossip.py
@@ -84,6 +84,8 @@
         self._clock = clock
         self._random = random
         self._received = board.subscribe(RECORD_KIND)
+        # Kept if the task fails while it adopts a record.
+        self._unadopted: Entry | Fact | None = None
         self._pending: asyncio.Queue[Record] = asyncio.Queue()
         # Kept if the task fails and is started again: what is confirmed to
         # other hosts must have been published.
@@ -91,6 +93,7 @@
         record_cache.subscribe(self._pending.put_nowait)
         self._confirmations = confirmations or RecordConfirmations(board)
         record_cache.subscribe(self._confirmations.hold)
+        self._confirmations.track_unadopted(self._has_unadopted)
 
     async def run(self) -> None:
         """Receive and publish records until cancelled."""
@@ -100,7 +103,13 @@
 
     async def _receive(self) -> None:
         while True:
-            self._adopt(await self._received.get())
+            if self._unadopted is None:
+                self._unadopted = await self._received.get()
+            self._adopt(self._unadopted)
+            self._unadopted = None
+
+    def _has_unadopted(self) -> bool:
+        return self._unadopted is not None or not self._received.empty()
 
     def _adopt(self, received: Entry | Fact) -> None:
         if not isinstance(received, Fact):
