Combine no two watermarks to one that no host has stated

The table took the later position and the later time apart: revision 7 as of 10.0 s and revision 6 as of 11.0 s became revision 7 as of 11.0 s. True watermarks do not contradict each other so; a false one was made worse by it. A watermark is adopted as a whole now, if neither its time nor its position is earlier. Ages are rounded up when they are sent: a receiver must not take them for more recent.

--- a/src/monsoonwall/mesh/watermarks.py
+++ b/src/monsoonwall/mesh/watermarks.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+from math import ceil
 from typing import Final
 
 from monsoonwall.mesh.board import Watermark
@@ -33,18 +34,20 @@
         return tuple(self._watermarks.values())
 
     def advance(self, watermark: Watermark) -> None:
-        """Adopt the later position and the later time of a watermark."""
+        """Adopt a watermark that is later, in time and in position.
+
+        Two watermarks that contradict each other are not combined to one that
+        no host has stated.
+        """
         known = self._watermarks.get(watermark.key)
-        if known is None and len(self._watermarks) >= _MAX_WATERMARKS:
-            return
-        self._watermarks[watermark.key] = Watermark(
-            watermark.key,
-            max(watermark.position, known.position if known else b''),
-            max(
-                watermark.confirmed_at,
-                known.confirmed_at if known else watermark.confirmed_at,
-            ),
-        )
+        if known is None:
+            if len(self._watermarks) < _MAX_WATERMARKS:
+                self._watermarks[watermark.key] = watermark
+        elif (
+            watermark.position >= known.position
+            and watermark.confirmed_at >= known.confirmed_at
+        ):
+            self._watermarks[watermark.key] = watermark
 
 
 def encode_watermarks(
@@ -57,9 +60,7 @@
             position=watermark.position,
             age_milliseconds=max(
                 0,
-                round(
-                    _MILLISECONDS_PER_SECOND * (now - watermark.confirmed_at)
-                ),
+                ceil(_MILLISECONDS_PER_SECOND * (now - watermark.confirmed_at)),
             ),
         )
         for watermark in watermarks
