Apply the bound of departures when a request is written to a server

The host's records say whether a server leaves; the host chose by them without asking how old they were, and the choice was not looked at again after a connection had been opened.

Every request, first attempt, retry or moved run, now passes one check before its first byte: its server must have been known to be in use at most the bound less 0.2 s ago. If the server has left, the attempt ends as unsent and another server is chosen, without retry budget. A leaving server may get requests that chose it before, or a run that resumes there, until the same time after it was last known to be in use. A reading that is due comes before a long watch.

--- a/src/monsoonwall/decisions/record_age.py
+++ b/src/monsoonwall/decisions/record_age.py
@@ -12,6 +12,8 @@
 
 # Time for the call, on a busy host, and for what was chosen before to be sent.
 _READING_SECONDS: Final = 0.4
+# Time for a request to reach its server, once it has been written.
+_SENDING_SECONDS: Final = 0.2
 
 
 def find_reading_time(confirmed_at: float, bound_seconds: float) -> float:
@@ -24,6 +26,14 @@
     )
 
 
+def find_latest_sending(confirmed_at: float, drain_seconds: float) -> float:
+    """Return until when a server may be sent requests.
+
+    At ``confirmed_at`` it was known not to be leaving.
+    """
+    return confirmed_at + max(0, drain_seconds - _SENDING_SECONDS)
+
+
 def find_current_time(
     began_at: float, waits_until: float, responded_at: float, *, changed: bool
 ) -> float:
--- a/src/monsoonwall/gateway/proxy.py
+++ b/src/monsoonwall/gateway/proxy.py
@@ -265,7 +265,10 @@
             health.record_success()
         elif outcome.ending in _NO_RESPONSE_ENDINGS:
             health.record_no_response(now)
-        elif not health.is_backing_off(now):
+        elif (
+            outcome.ending is not AttemptEnding.unsent
+            and not health.is_backing_off(now)
+        ):
             # A full server that asks for backoff has not failed.
             health.record_failure()
 
--- a/src/monsoonwall/gateway/record_confirmations.py
+++ b/src/monsoonwall/gateway/record_confirmations.py
@@ -71,7 +71,9 @@
 
     def confirm(self, confirmation: Confirmation) -> None:
         """Adopt what the store has confirmed to this host."""
-        self._own[confirmation.kind] = confirmation
+        own = self._own.get(confirmation.kind)
+        if own is None or own.confirmed_at <= confirmation.confirmed_at:
+            self._own[confirmation.kind] = confirmation
         if confirmation.kind not in ANNOUNCED_KINDS:
             return
         if self._is_publishing:
--- a/src/monsoonwall/gateway/record_service.py
+++ b/src/monsoonwall/gateway/record_service.py
@@ -48,7 +48,15 @@
             mesh.board, self.cache, clock, random, schedule.confirmations
         )
         self.departure_bound = DepartureBound(
-            self.cache, schedule.confirmations, clock, bounds.drain_seconds
+            self.cache,
+            schedule.confirmations,
+            next(
+                watcher
+                for watcher in self._watchers
+                if watcher.kind is RecordKind.server
+            ),
+            clock,
+            bounds.drain_seconds,
         )
 
     def list_runs(self) -> dict[str, Callable[[], Awaitable[None]]]:
--- a/src/monsoonwall/gateway/record_watchers.py
+++ b/src/monsoonwall/gateway/record_watchers.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
 
 from monsoonwall.clocks import Clock, SteadyWallClock
 from monsoonwall.decisions.budget import Backoff
@@ -21,7 +22,12 @@
     Confirmation,
     RecordConfirmations,
 )
-from monsoonwall.gateway.records import RecordKind, RecordSource
+from monsoonwall.gateway.records import (
+    Record,
+    RecordKind,
+    RecordReader,
+    RecordSource,
+)
 from monsoonwall.gateway.settings import Bounds
 from monsoonwall.logs import make_logger
 from monsoonwall.mesh.board import Board
@@ -223,7 +229,7 @@
         self._era = era
 
 
-class RecordWatcher:
+class RecordWatcher(RecordReader):
     """List one kind of record, then watch it in turns with other hosts."""
 
     def __init__(
@@ -254,6 +260,20 @@
         if kind is RecordKind.evacuation:
             self._turn_seconds *= _EVACUATION_TURN_FACTOR
 
+    async def refresh(self) -> None:
+        """Adopt all changes until now, beside a watch that waits for more."""
+        began = self._clock.read_monotonic()
+        failure: StoreFailure | None = StoreFailure.missing
+        if self._revision is not None:
+            changes = await self._read_changes(began)
+            failure = changes.swap().value_or(None)
+        if failure is StoreFailure.missing:
+            failure = await self._list()
+        if failure is None:
+            self._record_success()
+        else:
+            self._record_failure(failure, began)
+
     async def run(self) -> None:
         """List and watch until cancelled."""
         while True:
@@ -272,13 +292,17 @@
     def _find_deadline(self, turn: Turn, now: float) -> float | None:
         """Return until when to watch now, or None if not now."""
         self._update_out_of_turn()
+        # A watch responds only after seconds if there are no changes.
+        if self._failing_since is None and self._is_reading_due(now):
+            return now
         if turn.begins_at <= now:
             return turn.ends_at
         if self._out_of_turn or self._revision is None:
             return now + self._turn_seconds
-        if self._schedule.find_reading_time(self.kind) <= now:
-            return now
-        return None
+        return now if self._is_reading_due(now) else None
+
+    def _is_reading_due(self, now: float) -> bool:
+        return self._schedule.find_reading_time(self.kind) <= now
 
     def _skip_confirmed(self) -> None:
         """Continue after the records that have been confirmed meanwhile.
@@ -339,27 +363,33 @@
         return None
 
     async def _watch(self, deadline: float) -> StoreFailure | None:
+        changes = await self._read_changes(deadline)
+        if changes.value_or(()):
+            # Servers often start and stop in groups. Waiting collects their
+            # changes into one response, since each response costs a call.
+            await asyncio.sleep(_BATCH_SECONDS)
+        return changes.swap().value_or(None)
+
+    async def _read_changes(
+        self, deadline: float
+    ) -> Result[tuple[Record, ...], StoreFailure]:
         self._skip_confirmed()
         watched = await self._source.watch_records(
             self.kind, self._revision or 0, deadline
         )
         if not is_successful(watched):
-            return watched.failure()
+            return Failure(watched.failure())
         changes = watched.unwrap()
         if changes.era != self._era:
             # Changes between the copy and the watch's revision are not in it.
             self._revision = None
-            return None
+            return Success(())
         self._outages.record_response(changes.era)
         for record in changes.records:
             self._record_cache.adopt(record, self._outages.recovering)
         self._revision = max(self._revision or 0, changes.revision)
         self._confirm(changes.current_at)
-        if changes.records:
-            # Servers often start and stop in groups. Waiting collects their
-            # changes into one response, since each response costs a call.
-            await asyncio.sleep(_BATCH_SECONDS)
-        return None
+        return Success(changes.records)
 
     def _confirm(self, confirmed_at: float) -> None:
         if confirmed_at == float('-inf'):
@@ -391,6 +421,13 @@
             _log.info('Store answers again.', kind=self.kind)
 
     async def _back_off(self, failure: StoreFailure, began: float) -> None:
+        self._record_failure(failure, began)
+        # Counted from the start of the call: one that timed out has paused
+        # long enough.
+        until = self._backoff.record_failure(began, self._random.random())
+        await asyncio.sleep(max(0, until - self._clock.read_monotonic()))
+
+    def _record_failure(self, failure: StoreFailure, began: float) -> None:
         now = self._clock.read_monotonic()
         if self._failing_since is None:
             self._failing_since = began
@@ -405,10 +442,6 @@
             self._outages.suspect(
                 self._schedule.find_outage_start(self._failing_since)
             )
-        # Counted from the start of the call: one that timed out has paused
-        # long enough.
-        until = self._backoff.record_failure(began, self._random.random())
-        await asyncio.sleep(max(0, until - now))
 
 
 def make_watchers(
--- a/src/monsoonwall/gateway/records.py
+++ b/src/monsoonwall/gateway/records.py
@@ -87,6 +87,14 @@
         """
 
 
+class RecordReader(ABC):
+    """Read the changes of one kind of record at once."""
+
+    @abstractmethod
+    async def refresh(self) -> None:
+        """Adopt all changes until now, if the store responds."""
+
+
 class RecordCodec(ABC):
     """Decode records; malformed ones are decoded as None."""
 
--- a/src/monsoonwall/gateway/retrying.py
+++ b/src/monsoonwall/gateway/retrying.py
@@ -17,6 +17,9 @@
 
 # Attempts of one request, including those that servers did not execute.
 _MAX_TOTAL_ATTEMPTS: Final = 4
+_UNREACHED_ENDINGS: Final = frozenset(
+    (AttemptEnding.unreachable, AttemptEnding.unsent)
+)
 
 
 class RetryDecision(StrEnum):
@@ -60,7 +63,7 @@
         decision = self._check_attempts(state, outcome)
         # The budget bounds arrivals at servers. An attempt that never reached
         # its server is retried without it.
-        reached_server = outcome.ending is not AttemptEnding.unreachable
+        reached_server = outcome.ending not in _UNREACHED_ENDINGS
         if decision is RetryDecision.allowed and reached_server:
             budget = self._find_budget(state)
             now = self._clock.read_monotonic()
--- a/src/monsoonwall/gateway/sending.py
+++ b/src/monsoonwall/gateway/sending.py
@@ -50,9 +50,13 @@
         return self.ending not in {
             AttemptEnding.unreachable,
             AttemptEnding.busy,
+            AttemptEnding.unsent,
         }
 
 
+_UNSENT: Final = AttemptResult(AttemptEnding.unsent, 'the server has left')
+
+
 class ResponseObserver(ABC):
     """Receive the protocol fields of each response."""
 
@@ -123,6 +127,11 @@
         Never sends a request twice on one channel: a server may repeat its
         response late, and the copy bears the same id as the next response.
         """
+        began_at = self._clock.read_monotonic()
+        if not await self._departure_bound.allows(attempt.server):
+            return _UNSENT
+        # The server has as much time as without that check.
+        response_deadline += self._clock.read_monotonic() - began_at
         try:
             channel = await self.pool.acquire(
                 attempt.server, _CONNECT_SECONDS, attempt.used_channels
@@ -130,6 +139,15 @@
         except OSError as error:
             self._observer.observe_unreachable(attempt.server)
             return AttemptResult(AttemptEnding.unreachable, str(error))
+        try:
+            # The server may have left while the channel was opened.
+            allowed = await self._departure_bound.allows(attempt.server)
+        except BaseException:
+            channel.close()
+            raise
+        if not allowed:
+            channel.close()
+            return _UNSENT
         now = self._clock.read_monotonic()
         reader = _ResponseReader(
             attempt,
--- a/src/monsoonwall/metrics.py
+++ b/src/monsoonwall/metrics.py
@@ -216,6 +216,11 @@
     'leaving or gone.',
     buckets=(0.1, 0.25, 0.5, 1, 1.5, 2, 2.5, 3, 4, 6, 10),
 )
+GATEWAY_UNSENT_REQUESTS = Counter(
+    'monsoonwall_gateway_unsent_requests_total',
+    'Attempts that were not sent because their server had left since it was '
+    'chosen.',
+)
 GATEWAY_REPORTING_HOSTS = Gauge(
     'monsoonwall_gateway_hosts_heard',
     'Other hosts whose grants are known, with those of summed-up zones.',
--- a/src/monsoonwall/pipeline/messages.py
+++ b/src/monsoonwall/pipeline/messages.py
@@ -117,7 +117,8 @@
 
     ``busy`` is a response with status 429 or 503. An attempt is ``reclaimed``
     if its stream moves off a server that is being reclaimed, and ``cancelled``
-    if this host stops it.
+    if this host stops it. It is ``unsent`` if its server left before the
+    request was written.
     """
 
     completed = 'completed'
@@ -130,6 +131,7 @@
     timed_out = 'timed_out'
     cancelled = 'cancelled'
     malformed = 'malformed'
+    unsent = 'unsent'
 
 
 @dataclass(frozen=True)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -6,6 +6,7 @@
 
 from monsoonwall.gateway.callers import Caller
 from monsoonwall.gateway.duties import DutyCalls, DutyEnding
+from monsoonwall.gateway.records import RecordReader
 from monsoonwall.mesh.board import Board, Entry, Fact
 from monsoonwall.mesh.peers import Peers
 from monsoonwall.mesh.watermarks import WatermarkTable
@@ -59,6 +60,20 @@
         return self.queues.setdefault(kind, Queue())
 
 
+class FakeReader(RecordReader):
+    """Call a function instead of reading the store."""
+
+    def __init__(self):
+        self.refreshes = 0
+
+    async def read(self):
+        """Do nothing; tests replace this."""
+
+    async def refresh(self):
+        self.refreshes += 1
+        await self.read()
+
+
 class NoPeers(Peers):
     """A mesh without other hosts."""
 
--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -108,7 +108,7 @@
     def is_ready(self, ports):
         return send(ports['ready'], 'GET', '/monsoonwall/ready').status == 200
 
-    def announce_server(self, name, port, born):
+    def announce_server(self, name, port, born, state='ready'):
         """Write the store entry of a server of ``app``.
 
         Removes the entry if ``port`` is None.
@@ -120,7 +120,7 @@
             'service': 'app',
             'address': f'127.0.0.1:{port}',
             'zone': 'zone-a',
-            'state': 'ready',
+            'state': state,
             'slots': 8,
             'born': born,
         }
--- a/tests/gateway/test_gateway_processes.py
+++ b/tests/gateway/test_gateway_processes.py
@@ -265,6 +265,39 @@
         self.assertLessEqual(statuses, {401, 503})
         self.assertEqual(self.fetch(third, key='new')[0], 200)
 
+    def test_host_that_was_stopped_sent_requests_to_a_server_that_had_left(
+        self,
+    ):
+        """Requests waited with the news; their servers were chosen first."""
+        remaining = AppServer()
+        self.addCleanup(remaining.close)
+        self.configure()
+        process, ports = self.start_gateway()
+        self.wait_ready(ports)
+        self.assertTrue(wait_until(lambda: self.fetch(ports)[0] == 200))
+        process.send_signal(signal.SIGSTOP)
+        self.addCleanup(process.send_signal, signal.SIGCONT)
+        self.announce_server('i-1', self.app.port, 0, state='draining')
+        self.announce_server('i-2', remaining.port, 1)
+        # Longer than a server may get requests after it has left.
+        time.sleep(3.0)
+        served = self.app.served
+        statuses = []
+        callers = [
+            threading.Thread(
+                target=lambda: statuses.append(self.fetch(ports)[0])
+            )
+            for _ in range(8)
+        ]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.2)
+        process.send_signal(signal.SIGCONT)
+        for caller in callers:
+            caller.join()
+        self.assertEqual(set(statuses), {200})
+        self.assertEqual(self.app.served, served)
+
     def test_invalid_settings_are_reported(self):
         path = Path(self.folder.name) / 'bad.toml'
         path.write_text('node = 3')
--- a/tests/gateway/test_proxy.py
+++ b/tests/gateway/test_proxy.py
@@ -19,7 +19,10 @@
 from monsoonwall.gateway.model import CallerRequest
 from monsoonwall.gateway.proxy import ProxyHandler
 from monsoonwall.gateway.record_cache import RecordCache
-from monsoonwall.gateway.record_confirmations import RecordConfirmations
+from monsoonwall.gateway.record_confirmations import (
+    Confirmation,
+    RecordConfirmations,
+)
 from monsoonwall.gateway.records import Record, RecordKind
 from monsoonwall.gateway.retrying import RetryPolicy
 from monsoonwall.gateway.rollouts import RolloutController
@@ -33,7 +36,12 @@
 from monsoonwall.gateway.usage import UsageCounter
 from monsoonwall.platform.dialect import PlatformDialect
 from monsoonwall.platform.documents import PlatformCodec
-from tests.gateway.fakes import FakeBoard, NoPeers, RecordingCaller
+from tests.gateway.fakes import (
+    FakeBoard,
+    FakeReader,
+    NoPeers,
+    RecordingCaller,
+)
 from tests.standins.raw_server import make_response, run_raw_server
 
 SETTINGS = GatewaySettings('edge-1', 'zone-a', 'r', '', '', '', '')
@@ -52,6 +60,7 @@
     b'Transfer-Encoding: chunked\r\n', b''
 )
 STREAM_END = b'0\r\n\r\n'
+DRAIN_SECONDS = 2
 
 
 def make_route(name, kind, **more):
@@ -135,7 +144,16 @@
         clock = SystemClock()
         self.clock = clock
         board = FakeBoard('edge-1')
-        self.record_cache = RecordCache(PlatformCodec(), clock, 2)
+        self.record_cache = RecordCache(PlatformCodec(), clock, DRAIN_SECONDS)
+        self.confirmations = RecordConfirmations(board)
+        self.reader = FakeReader()
+        self.departure_bound = DepartureBound(
+            self.record_cache,
+            self.confirmations,
+            self.reader,
+            clock,
+            DRAIN_SECONDS,
+        )
         self.loads = LoadTracker(board, clock)
         self.engines = FakeEngines()
         self.rollouts = RolloutController(
@@ -184,12 +202,7 @@
                     self.signals,
                     ServerAccess(
                         DirectConnector(),
-                        DepartureBound(
-                            self.record_cache,
-                            RecordConfirmations(board),
-                            clock,
-                            2,
-                        ),
+                        self.departure_bound,
                     ),
                 ),
                 self.loads,
@@ -201,7 +214,9 @@
             )
         )
 
-    def configure(self, revision=1):
+    def configure(self, revision=1, age_seconds=0):
+        """Write records that were confirmed some seconds ago."""
+        self.confirm_servers(age_seconds)
         content = json.encode(
             {
                 'version': 1,
@@ -225,7 +240,7 @@
         for index in range(2):
             self.publish_server(index, revision)
 
-    def publish_server(self, index, revision, state='ready'):
+    def publish_server(self, index, revision, state='ready', born=1):
         spec = {
             'service': 'app',
             'address': self.servers[index].address,
@@ -233,11 +248,19 @@
             'zone': 'zone-a' if index == 0 else 'zone-b',
             'state': state,
             'slots': 4,
+            'born': born,
         }
         self.record_cache.adopt(
             Record(RecordKind.server, f'i-{index}', revision, json.encode(spec))
         )
 
+    def confirm_servers(self, age_seconds):
+        """Confirm the servers as of some seconds ago."""
+        now = self.clock.read_monotonic()
+        self.confirmations.confirm(
+            Confirmation(RecordKind.server, 0, 1, now - age_seconds)
+        )
+
     def make_request(
         self, path, key='key', seconds=1.0, attempt_id='a1', **more
     ):
@@ -444,12 +467,14 @@
         self.assertEqual(self.primary.connections, 2)
 
 
-class StreamTest(ProxyHandlerCase):
-    """Relay streams from servers that disconnect in the middle."""
+class StreamCase(ProxyHandlerCase):
+    """Prepare streams whose servers disconnect in the middle."""
+
+    age_seconds = 0
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        self.configure()
+        self.configure(age_seconds=self.age_seconds)
         self.primary = self.servers[0]
         self.secondary = self.servers[1]
         self.expected = b''.join(map(make_event, range(1, 5)))
@@ -462,6 +487,44 @@
         # be lost.
         server.responses.append([STREAM_HEAD, *pieces, 0.05, last_step])
 
+    def add_moved_stream(self):
+        # The stream ends only once its move was requested.
+        self.add_stream(self.primary, 1, 2, self.engines.stop)
+        self.primary.responses[-1].extend([0.1, 'close'])
+
+    async def run_move(self, move_result):
+        self.add_moved_stream()
+        return await self.move_current_run(move_result)
+
+    async def run_move_of_unframed_stream(self, move_result):
+        # The engine closes the stream between two events.
+        head = make_event(1) + make_event(2)
+        self.primary.responses.append(
+            [UNFRAMED_STREAM_HEAD, head, self.engines.stop, 0.1, 'close']
+        )
+        return await self.move_current_run(move_result)
+
+    async def move_current_run(self, move_result, *, evacuated=False):
+        self.engines.move_result = move_result
+        caller = StreamCaller(make_event(1) + make_event(2))
+        request = self.make_request('/draft/1')
+        mover_task = asyncio.create_task(self.run_mover.run())
+        serving_task = asyncio.create_task(self.handler.serve(request, caller))
+        # Only a run with events moves.
+        await asyncio.wait_for(caller.arrived.wait(), 1)
+        if evacuated:
+            self.record_cache.adopt(
+                Record(RecordKind.evacuation, 'zone-a', 2, b'{}')
+            )
+        self.publish_server(0, 9, 'draining')
+        await serving_task
+        mover_task.cancel()
+        return caller
+
+
+class StreamTest(StreamCase):
+    """Relay streams from servers that disconnect in the middle."""
+
     async def test_whole_stream_is_relayed(self):
         self.add_stream(self.primary, 1, 4, STREAM_END)
         caller = await self.send_request('/draft/1')
@@ -525,40 +588,6 @@
         caller = await self.send_request('/draft/1')
         self.assertEqual(caller.ending, 'cut')
 
-    def add_moved_stream(self):
-        # The stream ends only once its move was requested.
-        self.add_stream(self.primary, 1, 2, self.engines.stop)
-        self.primary.responses[-1].extend([0.1, 'close'])
-
-    async def run_move(self, move_result):
-        self.add_moved_stream()
-        return await self.move_current_run(move_result)
-
-    async def run_move_of_unframed_stream(self, move_result):
-        # The engine closes the stream between two events.
-        head = make_event(1) + make_event(2)
-        self.primary.responses.append(
-            [UNFRAMED_STREAM_HEAD, head, self.engines.stop, 0.1, 'close']
-        )
-        return await self.move_current_run(move_result)
-
-    async def move_current_run(self, move_result, *, evacuated=False):
-        self.engines.move_result = move_result
-        caller = StreamCaller(make_event(1) + make_event(2))
-        request = self.make_request('/draft/1')
-        mover_task = asyncio.create_task(self.run_mover.run())
-        serving_task = asyncio.create_task(self.handler.serve(request, caller))
-        # Only a run with events moves.
-        await asyncio.wait_for(caller.arrived.wait(), 1)
-        if evacuated:
-            self.record_cache.adopt(
-                Record(RecordKind.evacuation, 'zone-a', 2, b'{}')
-            )
-        self.publish_server(0, 9, 'draining')
-        await serving_task
-        mover_task.cancel()
-        return caller
-
     async def test_run_is_moved_off_a_leaving_server(self):
         self.add_stream(self.secondary, 3, 4, STREAM_END)
         caller = await self.run_move(MoveResult('h1', copied=True))
@@ -613,3 +642,16 @@
         )
         self.assertEqual(caller.body, make_event(1) + make_event(2))
         self.assertEqual(caller.ending, 'finished')
+
+
+class OldRecordsTest(StreamCase):
+    """Learn of a departure by records that were old before."""
+
+    age_seconds = 0.95 * DRAIN_SECONDS
+
+    async def test_run_resumed_at_a_source_that_had_left_for_too_long(self):
+        """The source had left up to 1.9 s before this host knew of it."""
+        self.add_moved_stream()
+        caller = await self.move_current_run(MoveResult('h1', copied=False))
+        self.assertEqual(caller.ending, 'cut')
+        self.assertEqual(self.count_arrivals(), [1, 0])
--- a/tests/gateway/virtual_gateways.py
+++ b/tests/gateway/virtual_gateways.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Success
 
 from monsoonwall.decisions.record_age import find_current_time
+from monsoonwall.gateway.departure_bound import DepartureBound
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_gossip import RecordGossip
 from monsoonwall.gateway.record_watchers import WatchSchedule, make_watchers
@@ -146,11 +147,13 @@
         self._clock = clock
 
     async def list_records(self, kind, current):
+        await self._fleet.wait_reading(self._host)
         listed = await self._list(kind)
         await self._fleet.wait_reading(self._host)
         return listed
 
     async def watch_records(self, kind, after, deadline):
+        await self._fleet.wait_reading(self._host)
         watched = await self._watch(kind, after, deadline)
         await self._fleet.wait_reading(self._host)
         return watched
@@ -213,6 +216,7 @@
         self.fleet = VirtualFleet(zones, hosts_per_zone, loop)
         self.caches = {}
         self.confirmations = {}
+        self.departure_bounds = {}
         self._coroutines = []
         for name, node in self.fleet.nodes.items():
             self._add(name, node, self.fleet.clocks[name], drain_seconds)
@@ -242,6 +246,17 @@
             node.board, cache, clock, random, schedule.confirmations
         )
         self.confirmations[name] = schedule.confirmations
+        self.departure_bounds[name] = DepartureBound(
+            cache,
+            schedule.confirmations,
+            next(
+                watcher
+                for watcher in watchers
+                if watcher.kind is RecordKind.server
+            ),
+            clock,
+            drain_seconds,
+        )
         self._coroutines += (gossip.run, *(watcher.run for watcher in watchers))
         self.caches[name] = cache
 
@@ -263,6 +278,13 @@
             )
         ]
 
+    async def is_sent(self, host, server):
+        """Return whether a host sends a request to a server."""
+        known = self.caches[host].find_server(server)
+        if known is None or known.leaving:
+            return False
+        return await self.departure_bounds[host].allows(known)
+
     def list_outdated(self, version):
         """Return the hosts that have another configuration in force."""
         return [
