Do not rely on confirmations that hosts of earlier builds state

During an upgrade, hosts of builds that overstate confirmations run beside hosts of this one, which took their times over and passed them on: the bound did not hold on undisturbed hosts of the new build. Confirmations have another key now. Earlier builds pass it on like any other, together with the records, but state none; hosts of each build read the store themselves where no host of their own build tells them.

test_hosts_relied_on_overstated_confirmations_of_earlier_builds failed before.

--- a/src/monsoonwall/gateway/record_confirmations.py
+++ b/src/monsoonwall/gateway/record_confirmations.py
@@ -13,7 +13,8 @@
 from monsoonwall.gateway.records import Record, RecordKind
 from monsoonwall.mesh.board import Board, Watermark
 
-_KEY_PREFIX: Final = 'record/'
+# Builds before this key may state later times than they knew.
+_KEY_PREFIX: Final = 'current-record/'
 # Era and revision, in an order in which greater bytes are later.
 _POSITION: Final = struct.Struct('>QQ')
 # Kinds whose changes must take effect within a bound. Other hosts need no
--- a/tests/gateway/test_record_confirmations.py
+++ b/tests/gateway/test_record_confirmations.py
@@ -16,7 +16,7 @@
     encode_record,
 )
 from monsoonwall.gateway.records import RecordKind
-from monsoonwall.mesh.board import Fact
+from monsoonwall.mesh.board import Fact, Watermark
 from tests.gateway.fakes import FakeBoard
 from tests.gateway.test_record_cache import make_record_cache, make_server
 from tests.gateway.virtual_gateways import VirtualGateways
@@ -102,7 +102,20 @@
             self.assertEqual(confirmations.find(kind).revision, 7)
         self.assertEqual(
             {watermark.key for watermark in board.watermarks.list_all()},
-            {'record/catalogue', 'record/server'},
+            {'current-record/catalogue', 'current-record/server'},
+        )
+
+    def test_hosts_relied_on_overstated_confirmations_of_earlier_builds(self):
+        """Hosts of both run side by side during an upgrade."""
+        board = FakeBoard('edge-1')
+        confirmations = RecordConfirmations(board)
+        confirmations.confirm(Confirmation(RecordKind.server, 0, 7, 10.0))
+        stated = board.find_watermark('current-record/server')
+        board.advance_watermark(
+            Watermark('record/server', stated.position, 12.0)
+        )
+        self.assertEqual(
+            confirmations.find(RecordKind.server).confirmed_at, 10.0
         )
 
 
