--- /dev/null
+++ b/tests/upgrades/__init__.py
@@ -0,0 +1,1 @@
+"""Test that hosts of different builds understand each other."""
