Let servers leave in the soak, and hosts change builds

The soak drew no leaving servers, so that nothing checked the bound of departures on real processes beside pauses, kills and restarts. Servers leave with and without a notice and serve on; a request that reaches one later than the bound is found unless the store was disturbed. Hosts that were paused are not excused: they can read the store first.

--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -79,6 +79,7 @@
         output=subprocess.PIPE,
         extra='',
         module='monsoonwall',
+        **environment,
     ):
         ports = ports or {
             listener: find_free_port()
@@ -99,6 +100,7 @@
             'gateway',
             output=output,
             MONSOONWALL_NODE_FILE=str(path),
+            **environment,
         )
         return process, ports
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -19,6 +19,11 @@
         '--only', action='append', default=[], choices=sorted(FAULT_KINDS)
     )
     parser.add_argument('--logs', help='directory for the logs of the hosts')
+    parser.add_argument(
+        '--earlier',
+        help='checkout of an earlier build; hosts start with it, and with the '
+        'other build whenever they start again',
+    )
     return parser.parse_args()
 
 
@@ -31,7 +36,7 @@
     case.setUp()
     try:
         plan, violations = case.run_plan(
-            seed, options.seconds, options.only, logs
+            seed, options.seconds, options.only, logs, options.earlier
         )
     finally:
         case.doCleanups()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -17,6 +17,8 @@
 MAX_MEMORY_KB = 300_000
 # A revoked key must be refused this long after the store confirmed the change.
 CONFIGURATION_SECONDS = 2.0
+# A server gets no requests this long after the store confirmed that it leaves.
+DRAIN_SECONDS = 2.0
 # Hosts keep a limit from this time after a server first named it.
 LIMIT_KNOWN_SECONDS = 3.0
 LIMIT_WINDOW_SECONDS = 4.0
@@ -70,7 +72,9 @@
 
     ``runs`` are the requests that reached a server, and ``disruptions`` the
     start and end of each fault that disrupts the contact of hosts with each
-    other, the store or the servers. All times are monotonic.
+    other, the store or the servers, ``store_disruptions`` of those of the
+    store. ``departures`` are servers whose leaving the store has confirmed.
+    All times are monotonic.
     """
 
     outcomes: tuple[Outcome, ...]
@@ -82,6 +86,8 @@
     max_attempts: int = 2
     key_probes: tuple[KeyProbe, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
+    departures: tuple = ()
+    store_disruptions: tuple[tuple[float, float], ...] = ()
 
     def is_undisrupted(self, since, until):
         """Return whether no disruption affects a span.
@@ -203,6 +209,27 @@
                 break
 
 
+def check_departures(observations):
+    """Find requests that reached a server that had left for too long.
+
+    Holds for hosts that were paused or restarted, too: they can read the store
+    before they send a request.
+    """
+    for departure in observations.departures:
+        bound = departure.moment + DRAIN_SECONDS
+        late = [
+            run.moment - departure.moment
+            for run in observations.runs
+            if run.server == departure.server and run.moment > bound
+        ]
+        is_excused = any(
+            begin < bound and departure.moment < end + PROPAGATION_SECONDS
+            for begin, end in observations.store_disruptions
+        )
+        if late and not is_excused:
+            yield f'{departure.server} got {len(late)}, at {late[0]:.3f} s'
+
+
 def check_lost(observations):
     """Find requests that reached a server but got no response.
 
@@ -250,6 +277,7 @@
     'BUDGET, crashing requests': check_crashing,
     'CONFIG': check_revoked_keys,
     'LIMIT': check_server_limits,
+    'DRAIN': check_departures,
     'LOST': check_lost,
     'RECOVER': check_recovered,
     'memory': check_memory,
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -22,6 +22,7 @@
     'configure': 0,
     'revoke_key': 0,
     'limit_servers': 9.0,
+    'server_leaves': 0,
 }
 RARE_KINDS = ('kill_all_hosts',)
 RARE_PROBABILITY = 0.3
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,6 +29,9 @@
 INTERPRETER_START_SECONDS = 0.5
 NORMAL_RESPONSE_SECONDS = 0.02
 LIMITS = (0.5, 1.0, 4.0)
+ANNOUNCED_SHARE = 0.6
+# Faults during which the store may confirm what hosts cannot read.
+STORE_KINDS = frozenset(('store_refuses', 'store_falls_silent'))
 # Faults after which hosts have to regain contact before the limits apply.
 DISRUPTIVE_KINDS = frozenset(
     (
@@ -52,6 +55,9 @@
         self.running = {}
         self.restart_locks = defaultdict(Lock)
         self.logs = None
+        # The source of an earlier build, or None.
+        self.earlier = None
+        self.starts = defaultdict(int)
         self.configuration_lock = Lock()
         self.configuration_version = 0
         self.probe_key = 0
@@ -59,10 +65,15 @@
         # The fault that set the limit of each server, and when.
         self.limit_faults = {}
 
-    def run_plan(self, seed, seconds, only=(), logs=None):
-        """Run the plan of a seed; return the plan and the violations found."""
+    def run_plan(self, seed, seconds, only=(), logs=None, earlier=None):
+        """Run the plan of a seed; return the plan and the violations found.
+
+        With the folder of an ``earlier`` build, each host starts with that,
+        and with the other build whenever it starts again.
+        """
         plan = make_plan(seed, seconds, only)
         self.logs = logs
+        self.earlier = earlier
         self.write_configuration()
         self.servers = CrashingServers(plan.servers, self.announce_server)
         self.addCleanup(self.servers.close)
@@ -86,7 +97,7 @@
         callers.start()
         self.prober.start()
         try:
-            disruptions = self.inject_faults(plan)
+            spans = self.inject_faults(plan)
             last_fault_at = time.monotonic()
             time.sleep(RECOVERY_SECONDS + MEASURED_SECONDS)
         finally:
@@ -95,12 +106,14 @@
         observations = Observations(
             tuple(callers.outcomes),
             tuple(self.servers.runs),
-            disruptions,
+            _select_spans(spans, DISRUPTIVE_KINDS),
             last_fault_at,
             RECOVERY_SECONDS,
             tuple(map(_read_memory, self.running.values())),
             key_probes=tuple(self.prober.probes),
             limits=tuple(self.limits),
+            departures=tuple(self.servers.departures),
+            store_disruptions=_select_spans(spans, STORE_KINDS),
         )
         return plan, find_violations(observations)
 
@@ -113,14 +126,18 @@
         output = subprocess.DEVNULL
         if self.logs is not None:
             output = (Path(self.logs) / f'{name}.log').open('ab')
+        environment = {}
+        if self.earlier is not None and not self.starts[name] % 2:
+            environment['PYTHONPATH'] = str(Path(self.earlier) / 'src')
+        self.starts[name] += 1
         process, ports = self.start_gateway(
-            name, seeds, self.hosts.get(name), output
+            name, seeds, self.hosts.get(name), output, **environment
         )
         self.running[name] = process
         self.hosts[name] = ports
 
     def inject_faults(self, plan):
-        """Inject the faults of a plan; return the spans of disruptive ones."""
+        """Inject the faults of a plan; return their kinds and spans."""
         begin = time.monotonic()
         with ThreadPoolExecutor(max(1, len(plan.faults))) as pool:
             injected = [
@@ -130,11 +147,10 @@
             spans = [injection.result() for injection in injected]
         remaining = begin + plan.seconds - time.monotonic()
         time.sleep(max(0, remaining))
-        return tuple(
-            span
+        return [
+            (fault.kind, *span)
             for span, fault in zip(spans, plan.faults, strict=True)
-            if fault.kind in DISRUPTIVE_KINDS
-        )
+        ]
 
     def inject_fault(self, begin, fault):
         time.sleep(max(0, begin + fault.at - time.monotonic()))
@@ -203,6 +219,9 @@
     def kill_servers(self, fault):
         self.servers.kill(1 + int(2 * fault.target))
 
+    def server_leaves(self, fault):
+        self.servers.leave(announced=fault.target < ANNOUNCED_SHARE)
+
     def reset_channels(self, _fault):
         self.servers.reset_channels()
 
@@ -261,6 +280,11 @@
         self.control(objects=[['config', 'main', changed]])
 
 
+def _select_spans(spans, kinds):
+    """Return the begin and end of the faults of some kinds."""
+    return tuple((begin, end) for kind, begin, end in spans if kind in kinds)
+
+
 def _handles_reload_signal(process):
     """Return whether a process ignores or catches SIGHUP, or has exited."""
     if process.poll() is not None:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -82,6 +82,7 @@
         ),
         limits=(NamedLimit('i-1', 1.0, 16.0, 40.0),),
     ),
+    'DRAIN': replace(VALID_RUN, departures=(ServerEvent(17.9, 'i-1', ''),)),
     'LOST': replace(
         VALID_RUN,
         outcomes=(
@@ -141,6 +142,15 @@
         )
         self.assertEqual(find_violations(observations), [])
 
+    def test_departures_that_hosts_may_not_have_read_are_excused(self):
+        departed = INVALID_RUNS['DRAIN']
+        for span, expected in (((15.0, 15.5), []), ((14.0, 14.5), ['DRAIN'])):
+            excused = replace(departed, store_disruptions=(span,))
+            violations = find_violations(excused)
+            self.assertEqual(
+                [line.partition(':')[0] for line in violations], expected
+            )
+
     def test_arrivals_during_a_disruption_are_allowed(self):
         observations = replace(
             INVALID_RUNS['BUDGET, crashing requests'],
--- a/tests/standins/crashing_servers.py
+++ b/tests/standins/crashing_servers.py
@@ -17,9 +17,9 @@
 
 @dataclass(frozen=True)
 class ServerEvent:
-    """A request that reached a server, or a server that crashed.
+    """A request that reached a server, or a server that crashed or left.
 
-    ``moment`` is monotonic time; ``attempt_id`` is empty for a crash.
+    ``moment`` is monotonic time; only requests have an ``attempt_id``.
     """
 
     moment: float
@@ -34,6 +34,7 @@
     port: int = 0
     born: int = 0
     up: bool = True
+    leaving: bool = False
     writers: set = field(default_factory=set)
 
 
@@ -46,13 +47,15 @@
     and ``expiry_seconds`` count from the crash.
 
     ``runs`` lists all requests that reached a server, ``arrivals`` the
-    crashing ones among them, and ``crashes`` the servers that crashed or were
-    killed. ``limits`` maps servers to the requests per second that they name.
+    crashing ones among them, ``crashes`` the servers that crashed or were
+    killed, and ``departures`` those whose leaving the store has confirmed.
+    ``limits`` maps servers to the requests per second that they name.
     """
 
     def __init__(self, count, publish, restart_seconds=1.0, expiry_seconds=1.5):
         self.arrivals = []
         self.crashes = []
+        self.departures = []
         self.runs = []
         self.limits = {}
         self.response_seconds = 0.02
@@ -87,6 +90,13 @@
         """Crash some servers, whatever requests they are running."""
         self._call(self._kill(count))
 
+    def leave(self, announced):
+        """Replace a server that serves on for a while after it has left.
+
+        Its entry says that it is draining if ``announced``, else it is removed.
+        """
+        self._call(self._leave(announced))
+
     def reset_channels(self):
         """Reset the connections of all servers without stopping the servers."""
         self._call(self._reset_all())
@@ -118,6 +128,25 @@
         for server in up[:count]:
             self._crash(server)
 
+    async def _leave(self, announced):
+        staying = [
+            server
+            for server in self._servers
+            if server.up and not server.leaving
+        ]
+        if not staying:
+            return
+        server = staying[0]
+        server.leaving = True
+        await self._start()
+        if announced:
+            await self._publish_state(
+                server.name, server.port, server.born, 'draining'
+            )
+        else:
+            await self._publish_state(server.name, None, server.born)
+        self.departures.append(ServerEvent(time.monotonic(), server.name, ''))
+
     async def _reset_all(self):
         for server in self._servers:
             for writer in list(server.writers):
