Apply the bound of configurations when a request is admitted

Requests pass the same check before admission as before they are written, with the configuration's bound; the check is a class of its own for both kinds.

The bounds are handed to the serving components with the records, instead of beside the connector. test_host_that_was_stopped_accepted_a_key_that_had_been_ revoked and test_key_that_had_been_revoked_was_accepted failed before.

--- a/src/monsoonwall/decisions/record_age.py
+++ b/src/monsoonwall/decisions/record_age.py
@@ -26,12 +26,9 @@
     )
 
 
-def find_latest_sending(confirmed_at: float, drain_seconds: float) -> float:
-    """Return until when a server may be sent requests.
-
-    At ``confirmed_at`` it was known not to be leaving.
-    """
-    return confirmed_at + max(0, drain_seconds - _SENDING_SECONDS)
+def find_latest_use(confirmed_at: float, bound_seconds: float) -> float:
+    """Return until when records may be used that were confirmed at a time."""
+    return confirmed_at + max(0, bound_seconds - _SENDING_SECONDS)
 
 
 def find_current_time(
--- a/src/monsoonwall/gateway/dependencies.py
+++ b/src/monsoonwall/gateway/dependencies.py
@@ -6,6 +6,7 @@
 from monsoonwall.gateway.admission import AdmissionCheck
 from monsoonwall.gateway.dialect import Dialect
 from monsoonwall.gateway.loads import LoadTracker
+from monsoonwall.gateway.record_bound import RecordBound
 from monsoonwall.gateway.retrying import RetryPolicy
 from monsoonwall.gateway.rollouts import RolloutController
 from monsoonwall.gateway.runs import RunRegistry
@@ -19,6 +20,7 @@
 class RequestDependencies:
     """Components that the ``ProxyHandler`` uses for every request."""
 
+    configuration_bound: RecordBound
     admission_check: AdmissionCheck
     screener: Screener
     server_selector: ServerSelector
--- a/src/monsoonwall/gateway/host.py
+++ b/src/monsoonwall/gateway/host.py
@@ -13,7 +13,6 @@
 from monsoonwall.gateway.duty_task import make_duty_task
 from monsoonwall.gateway.readiness import ReadyServer
 from monsoonwall.gateway.record_service import RecordService
-from monsoonwall.gateway.sending import ServerAccess
 from monsoonwall.gateway.serving import ServingStack
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.gateway.tunnel_service import TunnelService
@@ -67,12 +66,10 @@
         )
         self._serving = ServingStack(
             settings,
-            record_cache,
+            self._records,
             self._mesh,
             adapters,
-            ServerAccess(
-                self._tunnels.connector, self._records.departure_bound
-            ),
+            self._tunnels.connector,
             clock,
             self._random,
         )
--- a/src/monsoonwall/gateway/proxy.py
+++ b/src/monsoonwall/gateway/proxy.py
@@ -61,6 +61,7 @@
 
     async def serve(self, request: CallerRequest, caller: Caller) -> None:
         """Serve a request until its caller has the final response."""
+        await self._dependencies.configuration_bound.ensure_recent()
         admission = self._dependencies.admission_check.admit(request)
         if not is_successful(admission):
             self.refuse(request.attempt_id, caller, admission.failure())
--- a/src/monsoonwall/gateway/record_service.py
+++ b/src/monsoonwall/gateway/record_service.py
@@ -7,6 +7,7 @@
 from monsoonwall.entry.mesh_node import MeshNode
 from monsoonwall.gateway.adapters import GatewayAdapters
 from monsoonwall.gateway.departure_bound import DepartureBound
+from monsoonwall.gateway.record_bound import RecordBound
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_gossip import RecordGossip
 from monsoonwall.gateway.record_watchers import WatchSchedule, make_watchers
@@ -47,16 +48,15 @@
         self._gossip = RecordGossip(
             mesh.board, self.cache, clock, random, schedule.confirmations
         )
+        self._confirmations = schedule.confirmations
+        self._clock = clock
+        self.configuration_bound = self._make_bound(
+            RecordKind.catalogue, bounds.configuration_seconds
+        )
         self.departure_bound = DepartureBound(
             self.cache,
-            schedule.confirmations,
-            next(
-                watcher
-                for watcher in self._watchers
-                if watcher.kind is RecordKind.server
-            ),
+            self._make_bound(RecordKind.server, bounds.drain_seconds),
             clock,
-            bounds.drain_seconds,
         )
 
     def list_runs(self) -> dict[str, Callable[[], Awaitable[None]]]:
@@ -66,6 +66,14 @@
             'records': self._gossip.run,
         }
 
+    def _make_bound(self, kind: RecordKind, seconds: float) -> RecordBound:
+        reader = next(
+            watcher for watcher in self._watchers if watcher.kind is kind
+        )
+        return RecordBound(
+            kind, self._confirmations, reader, self._clock, seconds
+        )
+
 
 def _choose_record_kinds(settings: GatewaySettings) -> Iterable[RecordKind]:
     """Return the kinds of records that exist in this deployment."""
--- a/src/monsoonwall/gateway/sending.py
+++ b/src/monsoonwall/gateway/sending.py
@@ -94,14 +94,6 @@
         """Receive the end; return whether the response is complete."""
 
 
-@dataclass(frozen=True)
-class ServerAccess:
-    """Hold how servers are reached, and when they get no more requests."""
-
-    connector: ServerConnector
-    departure_bound: DepartureBound
-
-
 class Sender:
     """Send attempts over pooled channels."""
 
@@ -110,13 +102,14 @@
         dialect: Dialect,
         clock: Clock,
         observer: ResponseObserver,
-        access: ServerAccess,
+        connector: ServerConnector,
+        departure_bound: DepartureBound,
     ) -> None:
-        self.pool = ChannelPool(clock, access.connector)
+        self.pool = ChannelPool(clock, connector)
         self._dialect = dialect
         self._clock = clock
         self._observer = observer
-        self._departure_bound = access.departure_bound
+        self._departure_bound = departure_bound
 
     async def send(
         self, attempt: Attempt, writer: ResponseWriter, response_deadline: float
--- a/src/monsoonwall/gateway/serving.py
+++ b/src/monsoonwall/gateway/serving.py
@@ -11,12 +11,12 @@
 from monsoonwall.gateway.ingress import Ingress
 from monsoonwall.gateway.loads import LoadTracker
 from monsoonwall.gateway.proxy import ProxyHandler
-from monsoonwall.gateway.record_cache import RecordCache
+from monsoonwall.gateway.record_service import RecordService
 from monsoonwall.gateway.retrying import RetryPolicy
 from monsoonwall.gateway.rollouts import RolloutController
 from monsoonwall.gateway.run_moves import RunMover
 from monsoonwall.gateway.screening import make_screener
-from monsoonwall.gateway.sending import Sender, ServerAccess
+from monsoonwall.gateway.sending import Sender, ServerConnector
 from monsoonwall.gateway.server_selection import ServerSelector
 from monsoonwall.gateway.settings import GatewaySettings
 from monsoonwall.gateway.signals import ServerSignals
@@ -29,14 +29,15 @@
     def __init__(
         self,
         settings: GatewaySettings,
-        record_cache: RecordCache,
+        records: RecordService,
         mesh: MeshNode,
         adapters: GatewayAdapters,
-        access: ServerAccess,
+        connector: ServerConnector,
         clock: Clock,
         random: Random,
     ) -> None:
         self._own_name = settings.host_name
+        record_cache = records.cache
         self._record_cache = record_cache
         self._fleet = FleetView(
             mesh.peers,
@@ -49,7 +50,7 @@
         )
         self.loads = LoadTracker(mesh.board, clock)
         self.screener = make_screener(
-            record_cache, mesh.board, clock, access.connector
+            record_cache, mesh.board, clock, connector
         )
         self.rollouts = RolloutController(
             record_cache, mesh.board, clock, settings.bounds
@@ -69,17 +70,24 @@
             clock,
             random,
         )
-        sender = Sender(adapters.dialect, clock, self.signals, access)
+        sender = Sender(
+            adapters.dialect,
+            clock,
+            self.signals,
+            connector,
+            records.departure_bound,
+        )
         self.pool = sender.pool
         self.run_mover = RunMover(
             record_cache,
             server_selector,
             adapters.engines,
-            access.connector,
+            connector,
             settings.bounds.drain_seconds,
             clock,
         )
         dependencies = RequestDependencies(
+            records.configuration_bound,
             self.admission_check,
             self.screener,
             server_selector,
--- a/tests/gateway/test_gateway_processes.py
+++ b/tests/gateway/test_gateway_processes.py
@@ -282,11 +282,29 @@
         # Longer than a server may get requests after it has left.
         time.sleep(3.0)
         served = self.app.served
-        statuses = []
+        self.assertEqual(self.fetch_after_stop(process, ports), {200})
+        self.assertEqual(self.app.served, served)
+
+    def test_host_that_was_stopped_accepted_a_key_that_had_been_revoked(self):
+        """Requests waited with the news, and were admitted first."""
+        self.configure()
+        process, ports = self.start_gateway()
+        self.wait_ready(ports)
+        self.assertTrue(wait_until(lambda: self.fetch(ports)[0] == 200))
+        process.send_signal(signal.SIGSTOP)
+        self.addCleanup(process.send_signal, signal.SIGCONT)
+        tenants = [{'name': 'depot', 'api_keys': ['new']}]
+        changed = {**CONFIGURATION, 'version': 2, 'tenants': tenants}
+        self.control(objects=[['config', 'main', changed]])
+        # Longer than a change may take until it is in force.
+        time.sleep(3.0)
+        self.assertEqual(self.fetch_after_stop(process, ports), {401})
+
+    def fetch_after_stop(self, process, ports):
+        """Let a stopped host go on; return the statuses of waiting requests."""
+        statuses = set()
         callers = [
-            threading.Thread(
-                target=lambda: statuses.append(self.fetch(ports)[0])
-            )
+            threading.Thread(target=lambda: statuses.add(self.fetch(ports)[0]))
             for _ in range(8)
         ]
         for caller in callers:
@@ -295,8 +313,7 @@
         process.send_signal(signal.SIGCONT)
         for caller in callers:
             caller.join()
-        self.assertEqual(set(statuses), {200})
-        self.assertEqual(self.app.served, served)
+        return statuses
 
     def test_invalid_settings_are_reported(self):
         path = Path(self.folder.name) / 'bad.toml'
--- a/tests/gateway/test_outdated_choices.py
+++ b/tests/gateway/test_outdated_choices.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from monsoonwall.gateway.records import RecordKind
 from tests.gateway.test_proxy import DRAIN_SECONDS, ProxyHandlerCase
 from tests.standins.raw_server import make_response
 
@@ -28,7 +29,7 @@
 
         async def read():
             self.publish_server(0, 9, 'draining')
-            self.confirm_servers(0)
+            self.confirm(RecordKind.server, 0)
 
         self.configure(age_seconds=OLD_SECONDS)
         self.reader.read = read
@@ -54,7 +55,7 @@
         async def read():
             if self.reader.refreshes == 2:
                 self.publish_server(0, 9, 'draining')
-                self.confirm_servers(0)
+                self.confirm(RecordKind.server, 0)
 
         self.configure(age_seconds=OLD_SECONDS)
         self.reader.read = read
@@ -64,7 +65,7 @@
         self.configure(age_seconds=OLD_SECONDS)
         await self.fetch()
         asked = self.reader.refreshes
-        self.confirm_servers(0)
+        self.confirm(RecordKind.server, 0)
         await self.fetch()
         self.assertEqual(self.reader.refreshes, asked)
         await asyncio.sleep(OLD_SECONDS)
@@ -72,6 +73,24 @@
         self.assertGreater(self.reader.refreshes, asked)
 
 
+class OutdatedConfigurationTest(ProxyHandlerCase):
+    """Admit requests by a configuration that may have been replaced."""
+
+    async def test_key_that_had_been_revoked_was_accepted(self):
+        """The store was in reach, but the host did not ask it."""
+
+        async def read():
+            tenants = [{'name': 'depot', 'api_keys': ['new']}]
+            self.publish_configuration(9, tenants)
+            self.confirm(RecordKind.catalogue, 0)
+
+        self.configure(configured_seconds=OLD_SECONDS)
+        self.configuration_reader.read = read
+        caller = await self.send_request('/look/1')
+        self.assertEqual(caller.status, 401)
+        self.assertEqual(self.count_arrivals(), [0, 0])
+
+
 class DepartureAfterChoiceTest(ProxyHandlerCase):
     """Let a server leave between the choice and the sending."""
 
--- a/tests/gateway/test_proxy.py
+++ b/tests/gateway/test_proxy.py
@@ -18,6 +18,7 @@
 from monsoonwall.gateway.loads import LoadTracker
 from monsoonwall.gateway.model import CallerRequest
 from monsoonwall.gateway.proxy import ProxyHandler
+from monsoonwall.gateway.record_bound import RecordBound
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_confirmations import (
     Confirmation,
@@ -28,7 +29,7 @@
 from monsoonwall.gateway.rollouts import RolloutController
 from monsoonwall.gateway.run_moves import RunMover
 from monsoonwall.gateway.screening import make_screener
-from monsoonwall.gateway.sending import Sender, ServerAccess
+from monsoonwall.gateway.sending import Sender
 from monsoonwall.gateway.server_connections import DirectConnector
 from monsoonwall.gateway.server_selection import ServerSelector
 from monsoonwall.gateway.settings import Bounds, GatewaySettings
@@ -147,12 +148,14 @@
         self.record_cache = RecordCache(PlatformCodec(), clock, DRAIN_SECONDS)
         self.confirmations = RecordConfirmations(board)
         self.reader = FakeReader()
+        self.configuration_reader = FakeReader()
+        self.configuration_bound = self.make_bound(
+            RecordKind.catalogue, self.configuration_reader
+        )
         self.departure_bound = DepartureBound(
             self.record_cache,
-            self.confirmations,
-            self.reader,
+            self.make_bound(RecordKind.server, self.reader),
             clock,
-            DRAIN_SECONDS,
         )
         self.loads = LoadTracker(board, clock)
         self.engines = FakeEngines()
@@ -192,6 +195,7 @@
         )
         self.handler = ProxyHandler(
             RequestDependencies(
+                self.configuration_bound,
                 self.admission_check,
                 self.screener,
                 self.server_selector,
@@ -200,10 +204,8 @@
                     self.dialect,
                     clock,
                     self.signals,
-                    ServerAccess(
-                        DirectConnector(),
-                        self.departure_bound,
-                    ),
+                    DirectConnector(),
+                    self.departure_bound,
                 ),
                 self.loads,
                 self.rollouts,
@@ -214,12 +216,26 @@
             )
         )
 
-    def configure(self, revision=1, age_seconds=0):
-        """Write records that were confirmed some seconds ago."""
-        self.confirm_servers(age_seconds)
+    def make_bound(self, kind, reader):
+        return RecordBound(
+            kind, self.confirmations, reader, self.clock, DRAIN_SECONDS
+        )
+
+    def configure(self, revision=1, age_seconds=0, configured_seconds=0):
+        """Write records that were confirmed some seconds ago.
+
+        ``configured_seconds`` is the age of the configuration.
+        """
+        self.confirm(RecordKind.server, age_seconds)
+        self.confirm(RecordKind.catalogue, configured_seconds)
+        self.publish_configuration(revision, TENANTS)
+        for index in range(2):
+            self.publish_server(index, revision)
+
+    def publish_configuration(self, revision, tenants):
         content = json.encode(
             {
-                'version': 1,
+                'version': revision,
                 'routes': ROUTES,
                 'services': [
                     {
@@ -231,16 +247,14 @@
                         },
                     }
                 ],
-                'tenants': TENANTS,
+                'tenants': tenants,
             }
         )
         self.record_cache.adopt(
             Record(RecordKind.catalogue, 'main', revision, content)
         )
-        for index in range(2):
-            self.publish_server(index, revision)
 
-    def publish_server(self, index, revision, state='ready', born=1):
+    def publish_server(self, index, revision, state='ready', born=0):
         spec = {
             'service': 'app',
             'address': self.servers[index].address,
@@ -254,12 +268,10 @@
             Record(RecordKind.server, f'i-{index}', revision, json.encode(spec))
         )
 
-    def confirm_servers(self, age_seconds):
-        """Confirm the servers as of some seconds ago."""
+    def confirm(self, kind, age_seconds):
+        """Confirm records as of some seconds ago."""
         now = self.clock.read_monotonic()
-        self.confirmations.confirm(
-            Confirmation(RecordKind.server, 0, 1, now - age_seconds)
-        )
+        self.confirmations.confirm(Confirmation(kind, 0, 1, now - age_seconds))
 
     def make_request(
         self, path, key='key', seconds=1.0, attempt_id='a1', **more
--- a/tests/gateway/virtual_gateways.py
+++ b/tests/gateway/virtual_gateways.py
@@ -12,6 +12,7 @@
 
 from monsoonwall.decisions.record_age import find_current_time
 from monsoonwall.gateway.departure_bound import DepartureBound
+from monsoonwall.gateway.record_bound import RecordBound
 from monsoonwall.gateway.record_cache import RecordCache
 from monsoonwall.gateway.record_gossip import RecordGossip
 from monsoonwall.gateway.record_watchers import WatchSchedule, make_watchers
@@ -246,16 +247,19 @@
             node.board, cache, clock, random, schedule.confirmations
         )
         self.confirmations[name] = schedule.confirmations
+        reader = next(
+            watcher for watcher in watchers if watcher.kind is RecordKind.server
+        )
         self.departure_bounds[name] = DepartureBound(
             cache,
-            schedule.confirmations,
-            next(
-                watcher
-                for watcher in watchers
-                if watcher.kind is RecordKind.server
+            RecordBound(
+                RecordKind.server,
+                schedule.confirmations,
+                reader,
+                clock,
+                drain_seconds,
             ),
             clock,
-            drain_seconds,
         )
         self._coroutines += (gossip.run, *(watcher.run for watcher in watchers))
         self.caches[name] = cache
