--- a/src/monsoonwall/entry/mesh_node.py
+++ b/src/monsoonwall/entry/mesh_node.py
@@ -94,7 +94,7 @@
 
     def prefer_partner(self, find_partner: Callable[[], str]) -> None:
         """Register which host most likely knows what this one lacks."""
-        self._planner.find_preferred = find_partner
+        self._planner.prefer_partner(find_partner)
 
     def declare_merge(self, kind: str, merge: Merge) -> None:
         """Register how a zone's relays merge the entries of a kind."""
--- a/src/monsoonwall/mesh/rounds.py
+++ b/src/monsoonwall/mesh/rounds.py
@@ -41,7 +41,7 @@
         self._shuffle_seed = gossip.hash_with_seed(store.own.name, 0)
         self._push_count = 0
         self._wide = False
-        self.find_preferred: Callable[[], str] = str
+        self._find_preferred: Callable[[], str] = _prefer_none
 
     @property
     def wide(self) -> bool:
@@ -77,10 +77,14 @@
         self._flush(peers, now)
         if self._wide:
             return gossip.choose_wide_rounds(
-                own, peers, now, self._shuffle_seed, self.find_preferred()
+                own, peers, now, self._shuffle_seed, self._find_preferred()
             )
         return (gossip.choose_round(own, peers, now, self._shuffle_seed),)
 
+    def prefer_partner(self, find_partner: Callable[[], str]) -> None:
+        """Register which host most likely knows what this one lacks."""
+        self._find_preferred = find_partner
+
     def choose_push_targets(self) -> tuple[Peer, ...]:
         """Return the peers to push new facts to."""
         self._push_count += 1
@@ -167,3 +171,7 @@
             *self._listed_seeds,
             *self._recent_addresses,
         } - {self._address}
+
+
+def _prefer_none() -> str:
+    return ''
