--- a/tests/standins/crashing_servers.py
+++ b/tests/standins/crashing_servers.py
@@ -35,6 +35,7 @@
     born: int = 0
     up: bool = True
     leaving: bool = False
+    has_entry: bool = True
     writers: set = field(default_factory=set)
 
 
@@ -144,7 +145,7 @@
                 server.name, server.port, server.born, 'draining'
             )
         else:
-            await self._publish_state(server.name, None, server.born)
+            await self._remove_entry(server)
         self.departures.append(ServerEvent(time.monotonic(), server.name, ''))
 
     async def _reset_all(self):
@@ -211,6 +212,11 @@
 
     async def _expire_entry(self, server):
         await asyncio.sleep(self._expiry_seconds)
+        if server.has_entry:
+            await self._remove_entry(server)
+
+    async def _remove_entry(self, server):
+        server.has_entry = False
         await self._publish_state(server.name, None, server.born)
 
 
