Adopt no confirmations with facts that a host refuses

A host ignores a fact if its table is full (20,000), or as expired if its own clock or that of the host which published it is more than an hour off. It adopted the watermarks of the same message all the same, and so held to know records that it had never got; its own watch then skipped them.

Both tests of RefusedFactsTest failed before.

--- a/src/monsoonwall/mesh/exchange.py
+++ b/src/monsoonwall/mesh/exchange.py
@@ -137,7 +137,7 @@
         received: tuple[Watermark, ...] = ()
         if snapshot is not None:
             received = decode_watermarks(reply.watermarks, snapshot.taken_at)
-            self._advance_watermarks(received)
+            self._advance_watermarks(received, reply.facts)
         if snapshot is not None and is_complete:
             push.watermarks.extend(encode_watermarks(snapshot.watermarks, now))
             push.reply_made_at_milliseconds = reply.made_at_milliseconds
@@ -150,7 +150,7 @@
         # The push answers a reply, so it was sent after that was made.
         made_at = push.reply_made_at_milliseconds / _MILLISECONDS_PER_SECOND
         self._advance_watermarks(
-            decode_watermarks(push.watermarks, min(made_at, now))
+            decode_watermarks(push.watermarks, min(made_at, now)), push.facts
         )
 
     def merge_facts(
@@ -197,7 +197,17 @@
         elif digest.sequence < log.sequence:
             budget.add_delta(reply.deltas, log, digest.sequence)
 
-    def _advance_watermarks(self, watermarks: Iterable[Watermark]) -> None:
+    def _advance_watermarks(
+        self, watermarks: Iterable[Watermark], records: Iterable[FactRecord]
+    ) -> None:
+        """Adopt watermarks that came with facts, unless one was refused.
+
+        Facts are refused if the table is full, or as expired if a clock is
+        wrong.
+        """
+        facts = self.store.facts
+        if not all(facts.holds(record.kind, record.key) for record in records):
+            return
         for watermark in watermarks:
             self.store.watermarks.advance(watermark)
 
--- a/src/monsoonwall/mesh/facts.py
+++ b/src/monsoonwall/mesh/facts.py
@@ -65,6 +65,10 @@
         self._insert(fact, max(kept_until, fact.expires_wall))
         return True
 
+    def holds(self, kind: str, key: str) -> bool:
+        """Return whether there is a fact under a key."""
+        return key in self._kinds.get(kind, {})
+
     def expire(self, now_wall: float) -> None:
         """Drop the facts that need not be kept any longer."""
         expired = list(takewhile(lambda due: due[0] <= now_wall, self._expiry))
--- a/tests/mesh/test_watermarks.py
+++ b/tests/mesh/test_watermarks.py
@@ -1,6 +1,7 @@
 """Test combining watermarks of several hosts."""
 
 import unittest
+from unittest.mock import patch
 
 from monsoonwall.mesh.board import Watermark
 from monsoonwall.mesh.watermarks import (
@@ -8,6 +9,7 @@
     decode_watermarks,
     encode_watermarks,
 )
+from tests.upgrades.messages import EXPIRES_WALL, NOW, make_exchanger
 
 
 def make_watermark(position, confirmed_at):
@@ -42,5 +44,29 @@
             self.assertLessEqual(received[0].confirmed_at, 500.0 - age)
 
 
+class RefusedFactsTest(unittest.TestCase):
+    """Receive facts and watermarks in one exchange."""
+
+    def find_received(self, now_wall, max_facts=100):
+        """Return the watermark that a host has after an exchange."""
+        source = make_exchanger('edge-1', informed=True)
+        source.store.watermarks.advance(make_watermark(6, 990.0))
+        target = make_exchanger('edge-10', informed=False)
+        snapshot = target.take_snapshot(NOW)
+        reply = source.make_reply(target.make_request(()), (), NOW)
+        with patch('monsoonwall.mesh.facts.MAX_FACTS', max_facts):
+            target.apply_reply(reply, NOW, now_wall, snapshot)
+        return target.store.watermarks.find('record/server')
+
+    def test_host_whose_clock_is_ahead_missed_facts_that_it_held_to_have(self):
+        """It took them for expired, and adopted what covers them."""
+        self.assertIsNone(self.find_received(EXPIRES_WALL + 1))
+        self.assertIsNotNone(self.find_received(EXPIRES_WALL - 1))
+
+    def test_host_whose_table_is_full_missed_facts_that_it_held_to_have(self):
+        self.assertIsNone(self.find_received(NOW, max_facts=4))
+        self.assertIsNotNone(self.find_received(NOW, max_facts=5))
+
+
 if __name__ == '__main__':
     unittest.main()
