--- a/tests/decisions/test_watch_turns.py
+++ b/tests/decisions/test_watch_turns.py
@@ -5,7 +5,11 @@
 from itertools import combinations
 from random import Random
 
-from monsoonwall.decisions.watch_turns import TURNS_AT_ONCE, find_turn
+from monsoonwall.decisions.watch_turns import (
+    TURNS_AT_ONCE,
+    find_latest_watcher,
+    find_turn,
+)
 
 TURN_SECONDS = 2.0
 STEP_SECONDS = TURN_SECONDS / TURNS_AT_ONCE
@@ -80,6 +84,17 @@
         )
         self.assertLessEqual(longest, CONFIGURATION_SECONDS - SPREADING_SECONDS)
 
+    def test_latest_watcher_is_the_host_whose_turn_ended_last(self):
+        for count in (3, 7, 24, 39):
+            hosts = make_hosts(count)
+            for number in range(4 * count):
+                ended_at = 1000 * STEP_SECONDS + number * STEP_SECONDS
+                latest = find_latest_watcher(
+                    hosts, ended_at + 0.1, TURN_SECONDS
+                )
+                begun = find_turn(latest, hosts, ended_at - 1.0, TURN_SECONDS)
+                self.assertAlmostEqual(begun.ends_at, ended_at)
+
     def test_few_outages_hit_all_watching_hosts_at_once(self):
         zones = [make_hosts(HOSTS_PER_ZONE, zone) for zone in range(ZONES)]
         all_hosts = [host for hosts in zones for host in hosts]
