--- a/tests/gateway/test_gateway_processes.py
+++ b/tests/gateway/test_gateway_processes.py
@@ -271,12 +271,7 @@
         """Requests waited with the news; their servers were chosen first."""
         remaining = AppServer()
         self.addCleanup(remaining.close)
-        self.configure()
-        process, ports = self.start_gateway()
-        self.wait_ready(ports)
-        self.assertTrue(wait_until(lambda: self.fetch(ports)[0] == 200))
-        process.send_signal(signal.SIGSTOP)
-        self.addCleanup(process.send_signal, signal.SIGCONT)
+        process, ports = self.stop_serving_gateway()
         self.announce_server('i-1', self.app.port, 0, state='draining')
         self.announce_server('i-2', remaining.port, 1)
         # Longer than a server may get requests after it has left.
@@ -287,12 +282,7 @@
 
     def test_host_that_was_stopped_accepted_a_key_that_had_been_revoked(self):
         """Requests waited with the news, and were admitted first."""
-        self.configure()
-        process, ports = self.start_gateway()
-        self.wait_ready(ports)
-        self.assertTrue(wait_until(lambda: self.fetch(ports)[0] == 200))
-        process.send_signal(signal.SIGSTOP)
-        self.addCleanup(process.send_signal, signal.SIGCONT)
+        process, ports = self.stop_serving_gateway()
         tenants = [{'name': 'depot', 'api_keys': ['new']}]
         changed = {**CONFIGURATION, 'version': 2, 'tenants': tenants}
         self.control(objects=[['config', 'main', changed]])
@@ -300,6 +290,16 @@
         time.sleep(3.0)
         self.assertEqual(self.fetch_after_stop(process, ports), {401})
 
+    def stop_serving_gateway(self):
+        """Start a gateway; stop its process once it serves requests."""
+        self.configure()
+        process, ports = self.start_gateway()
+        self.wait_ready(ports)
+        self.assertTrue(wait_until(lambda: self.fetch(ports)[0] == 200))
+        process.send_signal(signal.SIGSTOP)
+        self.addCleanup(process.send_signal, signal.SIGCONT)
+        return process, ports
+
     def fetch_after_stop(self, process, ports):
         """Let a stopped host go on; return the statuses of waiting requests."""
         statuses = set()
